--- /dev/null
+++ b/src/drill/settings.cpp
@@ -0,0 +1,146 @@
+#include "settings.hpp"
+
+#include <charconv>
+#include <cmath>
+
+namespace robinseam::drill {
+namespace {
+
+constexpr Words<Effect, 3> kEffect{
+    {{"repeatable", Effect::Repeatable}, {"by_key", Effect::Keyed}, {"once", Effect::Once}}};
+constexpr Words<Group, 3> kGroup{
+    {{"all", Group::All}, {"zone", Group::Zone}, {"cell", Group::Cell}}};
+constexpr Words<ReportField, 8> kField{{{"concurrent", ReportField::InFlight},
+                                        {"depth", ReportField::Queue},
+                                        {"load_share", ReportField::Utilization},
+                                        {"mean_ms", ReportField::LatencyMs},
+                                        {"tps", ReportField::PerSecond},
+                                        {"err_ps", ReportField::ErrorsPerSecond},
+                                        {"x0", ReportField::HitShare},
+                                        {"x1", ReportField::FetchesOut}}};
+
+}  // namespace
+
+std::int64_t to_integer(std::string_view text, std::string_view what) {
+  std::int64_t value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) throw bad(what, text);
+  return value;
+}
+
+double to_number(std::string_view text, std::string_view what) {
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
+    throw bad(what, text);
+  return value;
+}
+
+std::optional<ReportField> report_field_of(std::string_view name) {
+  return look_up(kField, name);
+}
+
+namespace {
+
+/// Typed look-ups by path; an absent or empty value gives the default.
+struct Reader {
+  const SettingPairs& by_path;
+
+  std::string_view text(const std::string& path) const {
+    auto it = by_path.find(path);
+    return it == by_path.end() ? std::string_view() : it->second;
+  }
+  double number(const std::string& path, double absent) const {
+    return text(path).empty() ? absent : to_number(text(path), path);
+  }
+  std::int64_t integer(const std::string& path, std::int64_t absent) const {
+    return text(path).empty() ? absent : to_integer(text(path), path);
+  }
+};
+
+}  // namespace
+
+Settings settings_of(const SettingPairs& by_path) {
+  Reader read{by_path};
+  auto text = [&](const std::string& path) { return read.text(path); };
+  auto number = [&](const std::string& path, double absent) { return read.number(path, absent); };
+  auto integer = [&](const std::string& path, std::int64_t absent) {
+    return read.integer(path, absent);
+  };
+  auto flag = [&](const std::string& path) {
+    return !text(path).empty() && to_flag(text(path), path);
+  };
+  auto count = [&](const std::string& path) {
+    return in_range(integer(path, 0), 0, 100'000, path);
+  };
+
+  Settings s;
+  for (std::int64_t k = 0; k < count("Classes.count"); ++k) {
+    std::string at = "Classes." + std::to_string(k) + ".";
+    ClassSettings c;
+    c.name = text(at + "Name");
+    c.aim = integer(at + "ObjectiveUs", 0);
+    c.deadline = integer(at + "DeadlineUs", 0);
+    c.worth = number(at + "Worth", 1);
+    c.late_worth = number(at + "LateWorth", 0);
+    if (!text(at + "Effect").empty()) c.effect = word(kEffect, text(at + "Effect"), at + "Effect");
+    if (!text(at + "Group").empty()) c.group = word(kGroup, text(at + "Group"), at + "Group");
+    c.key_ttl = integer(at + "KeyTtlUs", 0);
+    c.streamed = flag(at + "Streamed");
+    s.classes.push_back(std::move(c));
+  }
+  for (std::int64_t k = 0; k < count("Tenants.count"); ++k) {
+    std::string at = "Tenants." + std::to_string(k) + ".";
+    s.tenants.push_back(
+        {std::string(text(at + "Name")), number(at + "Portion", 0), number(at + "QuotaPerS", 0)});
+  }
+  for (std::string_view name : split(text("Report.Fields"), ','))
+    s.report_fields.push_back(look_up(kField, name).value_or(ReportField::Unknown));
+  s.zone = text("Az");
+  for (std::string_view zone : split(text("FailureDomains"), ',')) s.zones.emplace_back(zone);
+  s.aside = text("Domain.Mode") == "aside";
+  auto kinds = split(text("MachineTypes"), ',');
+  std::int64_t origin = integer("Domain.OriginKind", -1);
+  if (origin >= 0 && origin < static_cast<std::int64_t>(kinds.size()))
+    s.origin_kind = kinds[origin];
+  s.routers = static_cast<int>(in_range(integer("Balancers", 1), 1, 10'000'000, "Balancers"));
+  s.must_ask = text("MembershipMode") == "subscribe";
+  s.may_cancel = flag("Limits.MayCancel");
+  s.may_probe = flag("Limits.MayProbe");
+  s.second_copies = flag("Limits.SecondCopies");
+  s.retry_after = flag("Limits.RetryAfter");
+  s.worth_by_work = text("ValueBy") == "work";
+  s.weights_listed = text("Weights") != "off" && !text("Weights").empty();
+  s.max_attempts =
+      static_cast<int>(in_range(integer("Limits.MaxAttempts", 1), 1, 1'000, "Limits.MaxAttempts"));
+  s.max_retry_after = integer("Limits.MaxRetryAfterUs", 0);
+  s.tick = integer("TickUs", 1000);
+  s.cross_zone_charge = number("Charges.CrossZone", 0);
+  s.waste_charge = number("Charges.Waste", 0);
+  s.late_fail_charge = number("Charges.LateFail", 0);
+  s.over_share_worth = number("OverShareWorth", 1);
+  s.answer_slack = integer("Rules.AnswerSlackUs", 0);
+  s.ask_within = integer("Rules.AskWithinUs", 10'000'000);
+  s.drain_grace = integer("Rules.DrainGraceUs", 0);
+  s.cold_share = number("Rules.ColdShare", 0.3);
+  s.cold_time = integer("Rules.ColdUs", 0);
+  s.overload_factor = number("Rules.OverloadFactor", 3);
+  s.tip_after = integer("Rules.TipAfterUs", 1'500'000);
+  return s;
+}
+
+LinkSettings link_settings_of(const SettingPairs& by_path) {
+  Reader read{by_path};
+  LinkSettings l;
+  auto positive = [&](const char* path, std::int64_t absent) {
+    return in_range(read.integer(path, absent), 1, std::int64_t{1} << 50, path);
+  };
+  l.streams = static_cast<int>(std::min<std::int64_t>(
+      positive("Limits.StreamsPerConn", l.streams), 1'000'000));
+  l.keepalive = positive("Limits.KeepaliveUs", l.keepalive);
+  l.dial_timeout = positive("Limits.DialTimeoutUs", l.dial_timeout);
+  l.max_open = positive("Limits.MaxOpen", l.max_open);
+  return l;
+}
+
+}  // namespace robinseam::drill
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,193 @@
+#include "config.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace arrowfork {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string scalar_text(const Json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+/// Writes a JSON tree as the wire's path=value pairs: `A.B`, lists of scalars joined by commas,
+/// lists of objects as `.count`, `.0`, `.1` and onward.
+void flatten(const Json& value, const std::string& path, std::map<std::string, std::string>& to) {
+  auto below = [&](const std::string& name) { return path.empty() ? name : path + '.' + name; };
+  if (value.is_object()) {
+    for (const auto& [name, item] : value.items()) flatten(item, below(name), to);
+  } else if (value.is_array() && !value.empty() && value.front().is_object()) {
+    to[below("count")] = std::to_string(value.size());
+    for (std::size_t k = 0; k < value.size(); ++k) flatten(value[k], below(std::to_string(k)), to);
+  } else if (value.is_array()) {
+    std::string joined;
+    for (const Json& item : value) joined += (joined.empty() ? "" : ",") + scalar_text(item);
+    to[path] = joined;
+  } else if (!value.is_null()) {
+    to[path] = scalar_text(value);
+  }
+}
+
+Host host_of(const Json& entry) {
+  if (!entry.is_object()) throw ConfigError("hosts: an entry is no object");
+  auto text = [&](const char* name) {
+    auto it = entry.find(name);
+    return it != entry.end() && it->is_string() ? it->get<std::string>() : std::string();
+  };
+  auto figure = [&](const char* name, double absent) {
+    auto it = entry.find(name);
+    return it != entry.end() && it->is_number() ? it->get<double>() : absent;
+  };
+  Host h;
+  h.server.id = text("host");
+  h.dial = text("dial");
+  h.server.zone = text("site");
+  h.server.kind = text("class");
+  h.server.cell = static_cast<std::int64_t>(std::clamp(figure("block", -1), -1.0, 1e15));
+  std::string health = text("health");
+  if (health == "active")
+    h.server.health = robinseam::Health::Ready;
+  else if (health == "leaving")
+    h.server.health = robinseam::Health::Draining;
+  else if (health == "left")
+    h.server.health = robinseam::Health::Gone;
+  else
+    throw ConfigError("hosts: health '" + health + "'");
+  h.server.weight = figure("share", 1);
+  // Unix time, and the router's clock has its origin there.
+  h.server.up_since =
+      static_cast<robinseam::Micros>(std::clamp(figure("born_ms", 0), 0.0, 1e15)) * 1000;
+  if (h.server.id.empty()) throw ConfigError("hosts: an entry without host");
+  if (h.server.health != robinseam::Health::Gone && h.dial.empty())
+    throw ConfigError("hosts: " + h.server.id + " without dial");
+  return h;
+}
+
+HostList host_list_of(const Json& json) {
+  if (!json.is_object()) throw ConfigError("a host list that is no object");
+  auto seq = json.find("seq"), whole = json.find("whole"), hosts = json.find("hosts");
+  if (seq == json.end() || !(seq->is_number() || seq->is_string()))
+    throw ConfigError("a host list without seq");
+  if (whole == json.end() || !whole->is_boolean()) throw ConfigError("a host list without whole");
+  if (hosts == json.end() || !hosts->is_array()) throw ConfigError("a host list without hosts");
+  HostList list;
+  list.version = scalar_text(*seq);
+  list.whole = whole->get<bool>();
+  for (const Json& entry : *hosts) list.hosts.push_back(host_of(entry));
+  return list;
+}
+
+std::uint64_t seed_of(const Json& value) {
+  if (value.is_number_unsigned()) return value.get<std::uint64_t>();
+  std::string text = scalar_text(value);
+  char* end = nullptr;
+  std::uint64_t seed = std::strtoull(text.c_str(), &end, 16);
+  if (text.empty() || *end) throw ConfigError("seed: '" + text + "' is no hex number");
+  return seed;
+}
+
+const Json& member(const Json& json, const char* name) {
+  auto it = json.find(name);
+  if (it == json.end()) throw ConfigError(std::string(name) + ": missing");
+  return *it;
+}
+
+std::string text_of(const Json& json, const char* name) {
+  auto it = json.find(name);
+  if (it == json.end()) return {};
+  if (!it->is_string()) throw ConfigError(std::string(name) + ": no text");
+  return it->get<std::string>();
+}
+
+Config config_of(const Json& json) {
+  if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file holds no JSON object");
+  Config c;
+  c.name = text_of(json, "name");
+  c.listen = text_of(json, "listen");
+  c.discovery = text_of(json, "discovery");
+  if (json.contains("seed")) c.seed = seed_of(json["seed"]);
+  double memory_mb = 192, sockets = 1024;
+  if (auto limits = json.find("limits"); limits != json.end()) {
+    if (!limits->is_object()) throw ConfigError("limits: no object");
+    auto figure = [&](const char* name, double& value) {
+      auto it = limits->find(name);
+      if (it == limits->end()) return;
+      if (!it->is_number() || !(it->get<double>() > 0))
+        throw ConfigError("limits." + std::string(name) + ": no number above 0");
+      value = it->get<double>();
+    };
+    figure("memory_mb", memory_mb);
+    figure("sockets", sockets);
+  }
+  if (sockets < 64) throw ConfigError("limits.sockets: under 64");
+  c.memory_bytes = static_cast<std::size_t>(std::min(memory_mb, 1e6) * 1048576);
+  c.sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
+  if (auto known = json.find("known"); known != json.end() && !known->is_null()) {
+    try {
+      c.known = host_list_of(*known);
+    } catch (const ConfigError& e) {
+      throw ConfigError(std::string("known: ") + e.what());
+    }
+  }
+  std::map<std::string, std::string> pairs;
+  const Json& settings = member(json, "settings");
+  if (!settings.is_object()) throw ConfigError("settings: no object");
+  flatten(settings, "", pairs);
+  try {
+    robinseam::drill::SettingPairs by_path(pairs.begin(), pairs.end());
+    c.settings = robinseam::drill::settings_of(by_path);
+    c.links = robinseam::drill::link_settings_of(by_path);
+  } catch (const std::runtime_error& e) {
+    throw ConfigError(std::string("settings: ") + e.what());
+  }
+  return c;
+}
+
+}  // namespace
+
+HostList parse_host_list(const std::string& json) {
+  try {
+    return host_list_of(Json::parse(json));
+  } catch (const Json::exception& e) {
+    throw ConfigError(e.what());
+  }
+}
+
+Config parse_config(const std::string& json) {
+  try {
+    return config_of(Json::parse(json));
+  } catch (const Json::exception& e) {
+    throw ConfigError(std::string("NODE_CONFIG: ") + e.what());
+  }
+}
+
+Config load_config() {
+  const char* path = std::getenv("NODE_CONFIG");
+  if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf()))
+    throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
+                      std::strerror(errno));
+  Config c = parse_config(text.str());
+  auto override_with = [](const char* variable, std::string& value) {
+    const char* set = std::getenv(variable);
+    if (set && *set) value = set;
+  };
+  override_with("NODE_NAME", c.name);
+  override_with("NODE_LISTEN", c.listen);
+  override_with("NODE_DISCOVERY", c.discovery);
+  if (c.listen.empty()) throw ConfigError("listen: missing");
+  if (c.discovery.empty()) throw ConfigError("discovery: missing");
+  return c;
+}
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,48 @@
+// What the router is told at its start: environment and configuration file.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "../drill/settings.hpp"
+
+namespace arrowfork {
+
+/// A configuration that can't be used; what() names the setting.
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+/// One cache server as discovery lists it.
+struct Host {
+  robinseam::Server server;
+  std::string dial;
+};
+
+struct HostList {
+  std::string version;
+  bool whole = false;
+  std::vector<Host> hosts;
+};
+
+/// Reads discovery's JSON. Throws ConfigError on anything that is not a list.
+HostList parse_host_list(const std::string& json);
+
+struct Config {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t memory_bytes = 0;
+  std::size_t sockets = 0;
+  HostList known;
+  robinseam::Settings settings;
+  robinseam::drill::LinkSettings links;
+};
+
+/// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
+/// Throws ConfigError.
+Config load_config();
+/// The same from the file's text alone.
+Config parse_config(const std::string& json);
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/memcache.hpp
@@ -0,0 +1,104 @@
+// The memcache meta commands that clients send and the answers that cache servers give, read
+// incrementally from bytes. No sockets here; every buffer is bounded.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "robinseam/balancer.hpp"
+
+namespace arrowfork {
+
+constexpr std::size_t kMaxLine = 4096;          ///< bytes of one line, its end included
+constexpr std::size_t kMaxKey = 250;            ///< as memcached has it
+constexpr std::size_t kMaxValue = 4u << 20;     ///< bytes of one value
+constexpr std::size_t kLargeValue = 64u << 10;  ///< a longer one is streamed to the client
+
+/// One `mg` or `ms`. The line is kept as the client wrote it, cut open where `d` stands.
+struct Command {
+  bool set = false;
+  std::string before_d, after_d;  ///< the line without its end, on both sides of the figure of `d`
+  std::string id, key, type, tenant;
+  double wait_ms = -1;  ///< `d`; negative where the client gave none
+  std::optional<std::int64_t> work;
+  bool repeat = false;
+  std::shared_ptr<const std::string> value;  ///< of a set, with its line end
+
+  /// The bytes for a cache server up to the value, `wait_ms` in the place of the client's.
+  std::string line(std::int64_t wait_ms) const;
+};
+
+/// Reads commands. `take` consumes from `in`; what it can't finish yet it keeps.
+class CommandReader {
+ public:
+  enum class Got {
+    Nothing,  ///< all of `in` is consumed, no command is whole
+    Command,  ///< `command` is whole
+    Noop,     ///< `mn`
+    Unknown,  ///< a line that is no command known here: ERROR
+    Bad,      ///< a malformed command whose end is certain: CLIENT_ERROR
+    Broken,   ///< where the next command begins is lost: CLIENT_ERROR and close
+  };
+  Got take(std::string_view& in, Command& command);
+  /// True while the bytes of a command have come in part.
+  bool in_command() const { return !partial_.empty() || state_ != State::Line; }
+  /// Bytes that are still to come of a set's value, 0 elsewhere.
+  std::size_t value_missing() const { return state_ == State::Value ? value_need_ : 0; }
+
+ private:
+  enum class State { Line, Value, Skip };
+  Got take_line(std::string_view line, Command& command);
+
+  State state_ = State::Line;
+  std::string partial_;
+  Command pending_;
+  std::shared_ptr<std::string> value_;
+  std::size_t value_need_ = 0;
+};
+
+/// A cache server's answer.
+struct Answer {
+  enum class Kind { Value, Stored, Busy, Error, Miss };
+  Kind kind = Kind::Error;
+  std::string id;       ///< of `O`; may be empty where the line has none
+  std::string receipt;  ///< of `HD`
+  std::size_t length = 0;
+  std::string value;           ///< of a `VA` that is not large
+  int note = 0;                ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
+  std::vector<double> report;  ///< in the order of the settings' fields; NaN where not told
+  bool last = false;           ///< after such a line the connection's framing is not to be trusted
+};
+
+/// Reads answers of one connection, in their order.
+class AnswerReader {
+ public:
+  explicit AnswerReader(const std::vector<robinseam::ReportField>* fields) : fields_(fields) {}
+  enum class Got {
+    Nothing,  ///< all of `in` is consumed, nothing is whole
+    Answer,   ///< `answer` is whole, its value too
+    Head,     ///< the line of a large value; Chunks and an End follow
+    Chunk,    ///< `chunk` is a part of the large value
+    End,      ///< the large value is whole
+    Broken,   ///< no answer of the protocol; the connection is of no more use
+  };
+  Got take(std::string_view& in, Answer& answer, std::string_view& chunk);
+  /// True while an answer has come in part.
+  bool in_answer() const { return !partial_.empty() || state_ != State::Line; }
+
+ private:
+  enum class State { Line, Value, Large, LargeEnd };
+  bool parse_line(std::string_view line, Answer& answer) const;
+  void parse_report(std::string_view text, Answer& answer) const;
+
+  const std::vector<robinseam::ReportField>* fields_;
+  State state_ = State::Line;
+  std::string partial_;
+  Answer pending_;
+  std::size_t need_ = 0;
+};
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/server_side.hpp
@@ -0,0 +1,104 @@
+// The connections to cache servers: dial, pool, pipeline, idle close, and each attempt's fate.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "config.hpp"
+#include "io.hpp"
+#include "memcache.hpp"
+
+namespace arrowfork {
+
+using robinseam::RequestId;
+using robinseam::Status;
+
+class ServerConnection;
+struct ServerPool;
+
+class ServerSide {
+ public:
+  /// Told of what becomes of attempts. Calls come from within the event loop, and from send() and
+  /// cancel(); none may call back into ServerSide.
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    /// The attempt has ended; `answer` is what came, where `status` tells of one. Called once for
+    /// each attempt, unless it was cancelled or its value was streamed.
+    virtual void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) = 0;
+    /// A large value begins. False: it is not wanted and will be dropped as it comes.
+    virtual bool on_value_begin(RequestId id, int attempt, Answer&& head) = 0;
+    /// Only after on_value_begin returned true. on_value_data returns false to be given no more
+    /// until resume().
+    virtual bool on_value_data(RequestId id, std::string_view data) = 0;
+    virtual void on_value_end(RequestId id, bool whole) = 0;
+  };
+  struct Limits {
+    std::size_t connections = 300;  ///< to all servers
+    std::size_t per_server = 8;
+    int streams = 32;  ///< attempts on one connection
+    Micros keepalive = 15 * kSecond;
+    Micros dial_timeout = 75 * kMillisecond;
+  };
+
+  ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
+             const std::vector<robinseam::ReportField>* fields);
+  ~ServerSide();
+
+  /// Takes over what a list says of where servers are and whether they want anything new.
+  void take_list(const HostList& list);
+
+  /// Sends one attempt. The handler may be told of its end before this returns.
+  void send(const std::string& server, RequestId id, int attempt, const Command& command,
+            std::int64_t wait_ms);
+  /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
+  Status cancel(const std::string& server, RequestId id, int attempt);
+  /// A streamed value may go on.
+  void resume(const std::string& server, RequestId id);
+
+  /// Counts since the start, for the log.
+  struct Counts {
+    std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
+    std::uint64_t ended_idle = 0, ended_busy = 0, garbage = 0, closed_idle = 0, gave_up = 0;
+    std::uint64_t late_answers = 0, large_values = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+  void flush();
+  bool dirty() const { return !dirty_.empty(); }
+  std::size_t connections() const { return total_; }
+
+ private:
+  friend class ServerConnection;
+  static void on_sweep(evutil_socket_t, short, void* self);
+  void sweep();
+  /// How long a connection may stand idle as far as the settings tell.
+  Micros idle_limit() const;
+  ServerConnection* pick(ServerPool& pool, bool large);
+  /// Where one more small attempt has the fewest before it; null where none may share.
+  ServerConnection* least_loaded(const ServerPool& pool, bool established) const;
+  ServerConnection* dial(ServerPool& pool);
+  void touch(ServerConnection& connection);
+  /// Ends the connection; every attempt on it gets its outcome.
+  void close(ServerConnection& connection);
+  void failed_dial(ServerConnection& connection);
+
+  event_base* base_;
+  const Clock& clock_;
+  Handler& handler_;
+  Limits limits_;
+  const std::vector<robinseam::ReportField>* fields_;
+  EventPtr sweep_event_;
+  std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
+  std::size_t total_ = 0;
+  Counts counts_;
+  std::vector<std::unique_ptr<ServerConnection>> closed_;
+  std::vector<ServerConnection*> dirty_;
+  std::unique_ptr<char[]> scratch_;
+};
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,1067 @@
+// Every decision of robinseam, from top to bottom:
+//   tunables, state, segments, saved seeds, server health, admission, attempts, list.
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <stdexcept>
+#include <string_view>
+#include <unordered_map>
+
+#include "robinseam/balancer.hpp"
+
+namespace robinseam {
+namespace {
+
+// ---- tunables ----
+constexpr Micros kSecond = 1'000'000;
+// Segments. 2^15 slots with 32 for a unit of weight: about 1% of the interval for ten servers, 25%
+// for 250.
+constexpr int kSlotBits = 15;
+constexpr int kSlots = 1 << kSlotBits;
+constexpr int kSlotsPerUnit = 32;
+constexpr double kMaxCoverage = 0.5;  // beyond, every server's slots are halved until they fit
+constexpr int kMaxDraws = 20'000;  // draws of one walk; even one live server of 250 is found within
+// Saved seeds. One key may load a server with this multiple of a fair share before it is spread.
+constexpr double kKeyShare = 0.7;
+// Requests of one key, in windows' worth of own traffic, behind each server it is spread over. With
+// one, a chance pair of a rare key made a second copy, and the fetches of all those copies jammed
+// origins.
+constexpr double kWindows = 2;
+constexpr double kCopyErrors = 0.02;  // errors over the fleet past which no hot server adds copies
+constexpr int kMaxOverflow = 4;       // landings passed over because the server is at its limit
+constexpr double kInFlightFactor =
+    2.0;  // limit of own attempts out, in multiples of the mean server
+constexpr double kInFlightFloor = 3.0;  // and never under this many
+// Nearness: a key is kept in the own zone once a copy there saves more than it costs, in points of
+// worth.
+// Worth lost by one more copy, in requests: its miss, and what it adds to a jammed origin.
+constexpr double kMissCost = 2.0;
+constexpr double kMaxNearPull = 0.9;  // the part of foreign segments a popular key passes over
+constexpr std::size_t kMaxTracked =
+    4096;  // keys counted per generation; bounds memory under a scan
+constexpr Micros kGeneration = 10 * kSecond;
+// Server health. A failure adds its weight; dead at the threshold, doubt halves every kDoubtHalf.
+constexpr double kDeadAt = 2.0;
+constexpr double kUsualFailure = 0.05;  // failures per attempt on a quiet day, at least
+constexpr double kFailureGain = 0.04;   // weight of one attempt in the fleet's failure rates
+constexpr double kDoubtHalf = 8.0 * kSecond;
+constexpr Micros kDeadFirst = kSecond;    // the first time out of service
+constexpr Micros kDeadMax = 8 * kSecond;  // doubled up to this
+constexpr Micros kReturnRamp = 3 * kSecond;
+constexpr double kReturnFrom = 0.2;
+constexpr double kDoubtAll =
+    0.7;  // more of the reachable servers judged dead than this: disbelieve
+constexpr double kSlowAlpha = 0.25;  // weight of one latency in a server's mean log ratio
+constexpr double kSlowHalf = 8.0 * kSecond;
+constexpr double kSlowFrom = 1.8;    // latency ratio from which a server counts as slow
+constexpr double kLiveFloor = 0.06;  // a slow server keeps this part, so that it is still seen
+constexpr double kHotFloor = 0.4;    // a hot one more: each swing of keys costs misses
+constexpr double kHotUtil = 0.85;    // busy cores from which a report makes a server hot
+constexpr double kHotMargin = 0.05;  // above the mean of the fleet
+constexpr double kFullGives = 0.2;   // of the rest, given up for one refusal as full
+constexpr double kFullHalf = 15.0 * kSecond;
+constexpr double kHotRate = 1.2;    // shedding per second and unit of heat, as exponent
+constexpr double kCoolRate = 0.12;  // return per second, as exponent
+constexpr double kCoolSpan = 2;     // seconds one report may stand for
+// Cold servers get this multiple of their fair, cold-weighted share at most.
+constexpr double kColdBudget = 1.3;
+// What a cold server's budget saves up, as part of tip_after: with all of it, a hot key that came
+// after a quiet spell spent twice the budget at once.
+constexpr double kColdBurst = 0.4;
+// And this part of what would push one over had warm servers been at the very edge of their
+// capacity.
+constexpr double kColdBorne = 0.5;
+constexpr double kBorneGain = 0.02;  // of one refresh in what warm servers bear, about 5 s
+// Attempts. Tokens per request for further attempts and for second copies, and their caps.
+constexpr double kRetryPerRequest = 0.03;
+constexpr double kRetryCap = 10;
+constexpr double kCopyPerRequest = 0.03;
+constexpr double kCopyCap = 3;
+constexpr double kQuantile = 0.95;  // latency quantile that patience is built on
+constexpr double kPatienceFactor = 2.0;
+constexpr double kServerErrs = 0.9;  // doubt from which errors are laid at the server's door
+constexpr double kFutileErrors =
+    0.1;  // errors per attempt over the fleet past which none is retried
+// Admission: the shed level moves once per step by the part of answers that came too late or not at
+// all.
+constexpr Micros kShedStep = kSecond / 4;
+constexpr double kShedFade = 0.75;  // of the counts, per step
+constexpr double kShedPrior = 2;    // answers presumed good
+constexpr double kShedBad = 0.2;
+// Per step, were all bad. Misses are cut fast, or the origin's queue, longer than clients wait,
+// never drains; hits slowly, as swings leave servers idle.
+constexpr double kAdmitCut = 0.3;
+constexpr double kAdmitCutHeld = 0.1;
+constexpr int kWantedSeen = 3;       // a key seen this often lately is likely held
+constexpr double kAdmitGrow = 0.25;  // of what is admitted, per step, when nothing ends badly
+constexpr double kAdmitMin = 0.03;
+constexpr double kShedLeast = 0.4;  // the most and least worthy are refused at these multiples
+constexpr double kShedMost = 1.4;
+// List: how long after the start the first call may come, as part of ask_within, so that routers
+// started together do not call together; and the doubling pause after failed calls.
+constexpr double kAskSpread = 0.4;
+constexpr Micros kAskBackoff = kSecond;
+
+constexpr double kRateSpan = 5;            // seconds over which rates fade
+constexpr Micros kRefresh = kSecond / 10;  // fleet-wide sums are renewed this often
+
+std::uint64_t mix(std::uint64_t x) {  // splitmix64 finalizer
+  x += 0x9e3779b97f4a7c15ULL;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+std::uint64_t hash_name(std::string_view name) {  // FNV-1a, then mixed
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (unsigned char c : name) h = (h ^ c) * 0x100000001b3ULL;
+  return mix(h);
+}
+
+std::uint64_t next_draw(std::uint64_t seed) {  // Knuth's MMIX generator
+  return seed * 6364136223846793005ULL + 1442695040888963407ULL;
+}
+
+int slot_of(std::uint64_t draw) { return static_cast<int>(draw >> (64 - kSlotBits)); }
+/// Where within its slot a draw lands, 0 to 1.
+double depth_of(std::uint64_t draw) {
+  return static_cast<double>((draw >> 17) & 0xffffffffULL) / 4294967296.0;
+}
+
+/// One attempt more in a rate of failures.
+void follow(double& rate, bool failed) { rate += kFailureGain * (failed - rate); }
+
+enum TimerKind : std::uint64_t { kDeadlineTimer, kCopyTimer, kAskTimer };
+
+void require(bool ok, const std::string& name) {
+  if (!ok) throw std::invalid_argument("setting " + name + " cannot be used");
+}
+
+}  // namespace
+
+struct Balancer::Impl {
+  // ---- state ----
+  struct ServerState {
+    Server listed;
+    bool present = false;  // on the current list and ready or draining
+    int in_flight = 0;     // own attempts out
+    double doubt = 0;      // weight of recent failures
+    Micros doubt_at = 0;
+    int strikes = 0;  // times judged dead without a success between
+    Micros dead_until = 0;
+    Micros returned_at = 0;  // start of the ramp after a dead spell; 0 = none
+    double slow_log = 0;     // mean log of latency over the class's usual
+    double slow_seen = 0;    // evidence behind it
+    Micros slow_at = 0;
+    double load_live = 1;  // live fraction by reported load
+    double crowded = 0;    // part given up for refusals as full
+    Micros crowded_at = 0;
+    Micros report_at = 0;
+    double cold_tokens = 0;
+    Micros cold_at = 0;
+  };
+  enum class Ran { Out, Maybe, Never };
+  struct Attempt {
+    int server;
+    Micros sent;
+    Ran ran = Ran::Out;
+  };
+  struct Open {
+    Request request;
+    int cls = 0;
+    int seen = 0;            // times its key came lately
+    bool held = false;       // its key is likely held by a server
+    std::uint64_t name = 0;  // hash of its key
+    std::uint64_t seed = 0;
+    Micros came = 0;
+    Micros deadline = 0;
+    bool closed = false;
+    bool missed = false;  // aside mode: a cache held nothing
+    std::vector<Attempt> attempts;
+  };
+  struct ClassState {
+    double mean_log = 0;  // usual log latency
+    double quantile = 0;  // latency at kQuantile
+    double seen = 0;
+  };
+
+  Settings set;
+  std::uint64_t rng;
+  Micros now = 0;
+  std::vector<ServerState> servers;
+  std::map<std::string, int> index;  // by id, so that walks over it are in id order
+  std::vector<int> slots = std::vector<int>(kSlots, -1);
+  std::unordered_map<RequestId, Open> open;
+  struct Saved {
+    std::uint64_t seed = 0;  // of the last landing
+    int drawn = 0;           // landings since the walk began at the name
+    int home = -1;           // server of the first of them
+    double count = 0;        // own requests lately, fading with own traffic
+    double at = 0;           // value of `sent` then
+  };
+  std::unordered_map<std::uint64_t, Saved> saved;  // by name hash
+  double sent = 0, swept = 0;  // own requests; and when stale seeds were dropped
+  struct Seen {
+    int times = 0;
+    bool held = false;  // its last read was answered, so some server holds it
+  };
+  std::array<std::unordered_map<std::uint64_t, Seen>, 2> counts;  // this generation, last
+  Micros generation_at = 0;
+  std::vector<ClassState> classes;
+  std::vector<double> tenant_rate;
+  double rate_sum = 0;  // decayed count of attempts sent, in mean requests
+  Micros rate_at = 0;
+  Micros born = 0;
+  double mean_work = 0;
+  double mean_log = 0;  // usual log latency over all classes
+  double queue_mean = 0, util_mean = 0;
+  int total_in_flight = 0;
+  // Failures per attempt over the whole fleet, lately.
+  double errors = 0, late = 0, unreachable = 0, full = 0;
+  double retry_tokens = kRetryCap / 2, copy_tokens = kCopyCap / 2;
+  struct Door {
+    double shed = 0;
+    double good = 0, bad = 0;  // ends of what it let in
+  };
+  std::array<Door, 2> doors;  // for keys likely to be fetched, and for those held
+  double mean_value = 0;      // usual worth of a request, or per work where worth goes by request
+  Micros shed_at = 0;
+  // renewed by refresh()
+  Micros refreshed = -1;
+  double live_sum = 1, weight_sum = 1, warm_sum = 1, near_pull = 0;
+  double borne = 0;  // requests per second and weight that this router's warm servers bear
+  bool disbelieve = false;
+  // list
+  bool watching = false, asking = false;
+  int ask_failures = 0;
+  std::uint64_t ask_token = 0;
+  std::uint64_t draws = 0;
+  Actions out;
+
+  /// What is left of 1 that halves every `half`.
+  double halved(Micros since, double half) const {
+    return std::exp2(-static_cast<double>(now - since) / half);
+  }
+
+  double random() {
+    rng = mix(rng + 1);
+    return static_cast<double>(rng >> 11) / 9007199254740992.0;
+  }
+
+  // ---- segments ----
+  bool is_origin(const ServerState& s) const {
+    return set.aside && !set.origin_kind.empty() && s.listed.kind == set.origin_kind;
+  }
+
+  void carve() {
+    std::fill(slots.begin(), slots.end(), -1);
+    double unit = kSlotsPerUnit, total = 0;
+    for (const ServerState& s : servers)
+      if (s.present && !is_origin(s)) total += std::max(s.listed.weight, 0.0) * kSlotsPerUnit;
+    while (total > kMaxCoverage * kSlots) unit /= 2, total /= 2;
+    for (const auto& [id, i] : index) {  // lower ids first: ties go to them
+      const ServerState& s = servers[i];
+      if (!s.present || is_origin(s)) continue;
+      int want = std::max(1, static_cast<int>(std::lround(s.listed.weight * unit)));
+      std::uint64_t seed = hash_name(id);
+      for (int tries = 0; want > 0 && tries < kSlots; ++tries) {
+        seed = next_draw(seed);
+        int& slot = slots[slot_of(seed)];
+        if (slot < 0) slot = i, --want;
+      }
+    }
+    refreshed = -1;
+  }
+
+  bool usable(const ServerState& s) const { return s.present && s.listed.health == Health::Ready; }
+
+  bool cold(const ServerState& s) const {
+    return s.listed.up_since > 0 && now - s.listed.up_since < set.cold_time;
+  }
+
+  double warmth(const ServerState& s) const {
+    if (!cold(s)) return 1;
+    double age = static_cast<double>(std::max<Micros>(0, now - s.listed.up_since)) /
+                 static_cast<double>(set.cold_time);
+    return set.cold_share + (1 - set.cold_share) * age;
+  }
+
+  /// The part of its slots that a server is live over. Death, slow start, a slow machine and
+  /// overload all act here, so each remaps only the keys of the part that is given up.
+  double live(const ServerState& s) const {
+    if (!usable(s)) return 0;
+    double part = warmth(s) * std::max(kLiveFloor, s.load_live * (1 - crowding(s)) * slow_part(s));
+    if (!disbelieve) {
+      if (now < s.dead_until) return 0;
+      if (s.returned_at > 0) {
+        double back = static_cast<double>(now - s.returned_at) / kReturnRamp;
+        part *= std::min(1.0, kReturnFrom + (1 - kReturnFrom) * back);
+      }
+    }
+    return part;
+  }
+
+  void refresh() {
+    if (refreshed >= 0 && now - refreshed < kRefresh) return;
+    refreshed = now;
+    double ready = 0, dead = 0, near_ready = 0, near_dead = 0;
+    for (const ServerState& s : servers) {
+      if (!usable(s) || is_origin(s)) continue;
+      bool near = s.listed.zone == set.zone;
+      ready += 1, near_ready += near;
+      if (now < s.dead_until) dead += 1, near_dead += near;
+    }
+    // A cut between zones looks like many deaths and is believed as long as the own zone answers;
+    // when the servers next door look dead as well, the fault is more likely here or in the
+    // judgement.
+    disbelieve = near_ready > 0 ? near_dead > kDoubtAll * near_ready && dead > kDoubtAll * ready
+                                : dead > kDoubtAll * ready;
+    double near_live = 0, near_weight = 0, nominal = 0;
+    live_sum = weight_sum = warm_sum = 0;
+    for (const ServerState& s : servers) {
+      if (!usable(s) || is_origin(s)) continue;
+      double part = live(s);
+      live_sum += part, weight_sum += part * s.listed.weight;
+      warm_sum += warmth(s) * s.listed.weight;
+      nominal += s.listed.weight;
+      if (s.listed.zone == set.zone) near_live += part, near_weight += 1;
+    }
+    if (warm_sum > 0.8 * nominal && warm_sum > 0) {
+      double fair = sent_rate() / warm_sum;
+      borne += (borne <= 0 ? 1 : kBorneGain) * (fair - borne);
+    }
+    // Servers of the own zone that shed load loosen the pull to it.
+    double rest = near_weight > 0 ? near_live / near_weight : 0;
+    near_pull = kMaxNearPull * rest * rest;
+  }
+
+  // ---- saved seeds ----
+  /// Own requests over which a key is counted: kWindows times what makes kKeyShare of a fair share.
+  double horizon() const { return kWindows * std::max(1.0, live_sum / kKeyShare); }
+
+  /// The seed the request's walk starts from. Repeats draw onward from the saved seed until the key
+  /// has been to as many servers as its share of the traffic needs; then its window ends and the
+  /// walk begins at the name again. A key that one server can bear stays at its first landing, and
+  /// a hot key's known spread outlives each wipe.
+  Saved& seed_of(std::uint64_t name) {
+    sent += 1;
+    double span = horizon();
+    auto fade = [&](const Saved& s) { return s.count * std::exp(-(sent - s.at) / span); };
+    if (sent - swept > span) {
+      for (auto it = saved.begin(); it != saved.end();)
+        it = fade(it->second) < 0.5 ? saved.erase(it) : std::next(it);
+      swept = sent;
+    }
+    Saved& s = saved[name];
+    s.count = fade(s) + 1;
+    s.at = sent;
+    // Some servers are hot by several middling keys, none of which would be spread for itself. Not
+    // while the origin fails: each copy asks it.
+    bool calm = s.home < 0 || s.count < kWindows || errors > kCopyErrors;
+    double per_server = kWindows * (calm ? 1 : servers[s.home].load_live);
+    if (s.drawn == 0 || s.drawn >= s.count / per_server) s.seed = name, s.drawn = 0;
+    return s;
+  }
+
+  /// Counts the key over the last one to two generations.
+  void count_key(Open& o) {
+    if (now - generation_at > kGeneration || counts[0].size() >= kMaxTracked) {
+      counts[1] = std::move(counts[0]);
+      counts[0].clear();
+      generation_at = now;
+    }
+    auto [it, fresh] = counts[0].try_emplace(o.name);
+    auto old = counts[1].find(o.name);
+    if (fresh && old != counts[1].end()) it->second.held = old->second.held;
+    o.seen = ++it->second.times + (old != counts[1].end() ? old->second.times : 0);
+    o.held = it->second.held && !o.request.write;
+  }
+
+  /// How an admitted request ended.
+  void note_end(const Open& o, bool answered, bool in_time) {
+    Door& d = doors[o.held];
+    ++(in_time ? d.good : d.bad);
+    auto it = counts[0].find(o.name);
+    if (it != counts[0].end()) it->second.held = answered && !o.request.write;
+  }
+
+  /// Whether a copy of the key in the own zone would pay.
+  bool popular(int seen) const {
+    double peers = std::max(1.0, set.routers / std::max<double>(1, set.zones.size()));
+    return seen >= 2 && set.cross_zone_charge * seen * peers > kMissCost;
+  }
+
+  bool at_limit(const ServerState& s) const {
+    double mean = total_in_flight / std::max(1.0, weight_sum);
+    return s.in_flight >= kInFlightFloor + kInFlightFactor * mean * s.listed.weight;
+  }
+
+  double cold_rate(const ServerState& s) const {  // requests per second this router may send
+    // Over the nominal sizes: were it over the live ones, servers that shed load would push it to
+    // the cold. And never more than warm servers were seen to bear: after a mass replacement the
+    // fair share of the few that are left is more than they can do.
+    double fair = sent_rate() / std::max(1.0, warm_sum);
+    double most = borne > 0 ? std::min(kColdBudget * fair, kColdBorne * set.overload_factor * borne)
+                            : kColdBudget * fair;
+    return warmth(s) * s.listed.weight * most;
+  }
+
+  /// A cold server's budget: tokens in units of a mean request. Every router keeps its own part, so
+  /// that all together stay within the rule without agreeing. Tokens start at random under one, or
+  /// many routers that each may send one request at once would tip a server together.
+  bool cold_has_room(ServerState& s, double cost) {
+    if (!cold(s)) return true;
+    double rate = cold_rate(s);
+    double cap = std::max(1.0, kColdBurst * rate * static_cast<double>(set.tip_after) / kSecond);
+    s.cold_tokens += rate * static_cast<double>(now - s.cold_at) / kSecond;
+    s.cold_tokens = std::min(s.cold_tokens, cap);
+    s.cold_at = now;
+    return s.cold_tokens >= std::min(cost, cap);
+  }
+
+  struct Landing {
+    int server = -1;
+    std::uint64_t seed = 0;
+  };
+
+  /// Draws onward from `seed`, `left` times at most, to the next live segment; -1 when there is
+  /// none.
+  int next_live(std::uint64_t& seed, int& left) const {
+    while (left-- > 0) {
+      seed = next_draw(seed);
+      int i = slots[slot_of(seed)];
+      if (i >= 0 && depth_of(seed) < live(servers[i])) return i;
+    }
+    return -1;
+  }
+
+  /// Draws from `seed` to the next live segment whose server may take the request.
+  Landing walk(std::uint64_t seed, const Open& o, bool keep_near) {
+    Landing fallback;
+    int passed = 0;
+    double cost = cost_of(o);
+    for (int left = kMaxDraws, before = left;; before = left) {
+      int i = next_live(seed, left);
+      draws += static_cast<std::uint64_t>(before - std::max(left, 0));
+      if (i < 0) return fallback;
+      ServerState& s = servers[i];
+      if (!may_send(o, i) || tried(o, i)) continue;
+      if (keep_near && s.listed.zone != set.zone && depth_of(mix(seed)) < near_pull) continue;
+      if (!cold_has_room(s, cost)) continue;
+      if (at_limit(s) && passed < kMaxOverflow) {
+        if (fallback.server < 0) fallback = {i, seed};
+        ++passed;
+        continue;
+      }
+      return {i, seed};
+    }
+  }
+
+  // ---- server health ----
+  double slow_part(const ServerState& s) const {
+    if (s.slow_seen < 2) return 1;
+    double age = halved(s.slow_at, kSlowHalf);
+    double ratio = std::exp(s.slow_log * age);
+    return ratio > kSlowFrom ? kSlowFrom / ratio : 1;
+  }
+
+  void note_latency(ServerState& s, int cls, Micros latency, bool ok) {
+    ClassState& c = classes[cls];
+    double value = std::max<double>(1, static_cast<double>(latency));
+    double log_value = std::log(value);
+    if (c.seen == 0) c.mean_log = log_value, c.quantile = value * 2;
+    c.seen = std::min(c.seen + 1, 200.0);
+    double gain = std::max(1 / c.seen, 0.02);
+    if (ok) {
+      mean_log += (mean_log == 0 ? 1 : 0.03) * (log_value - mean_log);
+      c.mean_log += gain * (log_value - c.mean_log);
+      c.quantile *=
+          std::exp((value > c.quantile ? kQuantile : kQuantile - 1) * std::max(gain, 0.05));
+    }
+    double age = halved(s.slow_at, kSlowHalf);
+    s.slow_log *= age, s.slow_seen *= age;
+    s.slow_log += kSlowAlpha * (log_value - c.mean_log - s.slow_log);
+    s.slow_seen += 1;
+    s.slow_at = now;
+  }
+
+  void note_success(ServerState& s) {
+    if (s.returned_at > 0 && now - s.returned_at > kReturnRamp) s.returned_at = 0, s.strikes = 0;
+    s.doubt = 0;
+  }
+
+  /// A failure is evidence against the server only as far as it is unusual: when a stopped origin
+  /// makes every server err, or overload makes all late, one more tells next to nothing (the
+  /// log-likelihood ratio of dead against alive, in units of a failure on a quiet day).
+  void note_failure(ServerState& s, double weight, double usual) {
+    weight *= std::log(std::max(usual, kUsualFailure)) / std::log(kUsualFailure);
+    s.doubt *= halved(s.doubt_at, kDoubtHalf);
+    s.doubt += weight;
+    s.doubt_at = now;
+    if (s.doubt < kDeadAt || now < s.dead_until) return;
+    Micros span = std::min(kDeadMax, kDeadFirst << std::min(s.strikes, 5));
+    s.dead_until = now + static_cast<Micros>(static_cast<double>(span) * (0.75 + 0.5 * random()));
+    s.returned_at = s.dead_until;  // gradual from there
+    s.strikes = std::min(s.strikes + 1, 8);
+    s.doubt = kDeadAt - 1;  // a trial's first failure is enough
+    refreshed = -1;
+  }
+
+  /// An attempt is out far longer than usual.
+  void note_stall(ServerState& s, double weight) {
+    follow(late, true);
+    note_failure(s, weight, late);
+  }
+
+  /// The part of its keys a server gives up for having been full. It returns with time alone: a
+  /// fleet that tells no load never said that a server was calm again.
+  double crowding(const ServerState& s) const {
+    return s.crowded * halved(s.crowded_at, kFullHalf);
+  }
+
+  void note_full(ServerState& s) {
+    double given = crowding(s);
+    s.crowded = given + (1 - given) * kFullGives * std::max(0.0, 1 - 4 * full);
+    s.crowded_at = now;
+  }
+
+  void note_report(ServerState& s, const std::vector<double>& report) {
+    if (report.empty()) return;
+    double heat = 0;
+    for (std::size_t k = 0; k < report.size() && k < set.report_fields.size(); ++k) {
+      double v = report[k];
+      if (!std::isfinite(v)) continue;
+      if (set.report_fields[k] == ReportField::Utilization) {
+        util_mean += 0.03 * (v - util_mean);
+        // Against the fleet: were all hot servers to shed, nearly every key would move and miss.
+        heat = std::max(heat, (v - std::max(kHotUtil, util_mean + kHotMargin)) / (1 - kHotUtil));
+      } else if (set.report_fields[k] == ReportField::Queue) {
+        queue_mean += 0.03 * (v - queue_mean);
+        heat = std::max(heat, std::min(2.0, (v - 2 - 2 * queue_mean) / (2 + queue_mean)));
+      }
+    }
+    // A server that gave up most of its keys is seen rarely: its return goes by the time that
+    // passed.
+    double dt = static_cast<double>(now - s.report_at) / kSecond;
+    s.report_at = now;
+    s.load_live *= std::exp(heat > 0 ? -kHotRate * heat * std::min(1.0, dt)
+                                     : kCoolRate * std::min(kCoolSpan, dt));
+    s.load_live = std::clamp(s.load_live, kHotFloor, 1.0);
+  }
+
+  // ---- admission ----
+  double rate_fade() const {
+    return std::exp(-static_cast<double>(now - rate_at) / (kRateSpan * kSecond));
+  }
+
+  double sent_rate() const {  // per second; not of arrivals: what is refused loads no server
+    double span = std::max(0.2, std::min(kRateSpan, static_cast<double>(now - born) / kSecond));
+    return rate_sum * rate_fade() / span;
+  }
+
+  double cost_of(const Open& o) const {
+    if (!o.request.work || mean_work <= 0) {  // no hints: by the latency usual for the class
+      const ClassState& c = classes[o.cls];
+      return c.seen < 5 ? 1 : std::clamp(std::exp(c.mean_log - mean_log), 0.2, 5.0);
+    }
+    return std::clamp(static_cast<double>(*o.request.work) / mean_work, 0.2, 5.0);
+  }
+
+  /// The admitted part shrinks a little while many admitted requests end unserved or late, and
+  /// grows back otherwise, also without evidence: a level that waited for answers stayed up when
+  /// few were left, and one that moved in large steps swung between refusing nearly all and jamming
+  /// the servers.
+  ///
+  /// Keys that were answered lately have a door of their own: a jammed origin makes the others end
+  /// badly and leaves these alone, overloaded servers make both.
+  void step_shed() {
+    if (now - shed_at < kShedStep) return;
+    for (bool held : {false, true}) {
+      Door& d = doors[held];
+      double cut = held ? kAdmitCutHeld : kAdmitCut;
+      double bad = d.bad / (d.good + d.bad + kShedPrior);
+      double admitted =
+          (1 - d.shed) * (bad > kShedBad ? 1 - cut * bad : 1 + kAdmitGrow * (1 - bad / kShedBad));
+      d.shed = 1 - std::clamp(admitted, kAdmitMin, 1.0);
+      d.good *= kShedFade, d.bad *= kShedFade;
+    }
+    shed_at = now;
+  }
+
+  bool shedding() const { return doors[0].shed > 0 || doors[1].shed > 0; }
+
+  /// Whether the request is turned away at the door.
+  bool turn_away(const Open& o) {
+    step_shed();
+    const ClassSettings& c = set.classes[o.cls];
+    double shed = doors[o.held].shed;
+    double chance = shed;
+    // Around the mean worth of what comes, so that all together lose the shed part and no more:
+    // taken from the best class, the bulk of the traffic was refused whole while servers stood
+    // idle.
+    double value = c.worth / (set.worth_by_work ? 1 : cost_of(o));
+    mean_value += (mean_value <= 0 ? 1 : 0.02) * (value - mean_value);
+    if (value > 0) chance *= std::clamp(mean_value / value, kShedLeast, kShedMost);
+    chance = std::min(chance, 1 - kAdmitMin / 2);
+    for (std::size_t t = 0; t < set.tenants.size(); ++t) {
+      if (set.tenants[t].name != o.request.tenant || set.tenants[t].quota_per_s <= 0) continue;
+      double quota = set.tenants[t].quota_per_s / std::max(1, set.routers);
+      double own = tenant_rate[t] / kRateSpan;
+      if (own > quota) chance += std::min(1.0, 4 * shed) * (1 - quota / own);
+    }
+    if (shed <= 0) return false;
+    if (o.request.key.empty()) return random() < chance;
+    // By key, alike at every router: what is let in stays cached and is answered by hits, so a
+    // fleet whose copies went void and whose origin is jammed fills again key by key, the wanted
+    // ones first. Refusing at random, every key's misses went on and the origin never caught up.
+    if (o.seen >= kWantedSeen) chance *= chance;
+    return depth_of(mix(~o.name)) < chance;
+  }
+
+  void fade_rates() {
+    if (rate_at == now) return;
+    double fade = rate_fade();
+    rate_sum *= fade;
+    for (double& rate : tenant_rate) rate *= fade;
+    rate_at = now;
+  }
+
+  void count_arrival(const Open& o) {
+    fade_rates();
+    if (o.request.work) {
+      double work = static_cast<double>(*o.request.work);
+      mean_work += (mean_work <= 0 ? 1 : 0.02) * (work - mean_work);
+    }
+    retry_tokens = std::min(kRetryCap, retry_tokens + kRetryPerRequest);
+    copy_tokens = std::min(kCopyCap, copy_tokens + kCopyPerRequest);
+  }
+
+  // ---- attempts ----
+  bool tried(const Open& o, int server) const {
+    return std::any_of(o.attempts.begin(), o.attempts.end(),
+                       [&](const Attempt& a) { return a.server == server; });
+  }
+  bool any_out(const Open& o) const {
+    return std::any_of(o.attempts.begin(), o.attempts.end(),
+                       [](const Attempt& a) { return a.ran == Ran::Out; });
+  }
+  bool may_have_run(const Open& o) const {
+    return std::any_of(o.attempts.begin(), o.attempts.end(),
+                       [](const Attempt& a) { return a.ran != Ran::Never; });
+  }
+
+  /// Rules 2 and 3 for one more attempt at `server`.
+  bool may_send(const Open& o, int server) const {
+    const ServerState& to = servers[server];
+    if (!usable(to) || static_cast<int>(o.attempts.size()) >= set.max_attempts) return false;
+    if (!set.second_copies && any_out(o)) return false;
+    const ClassSettings& c = set.classes[o.cls];
+    if (c.effect == Effect::Repeatable) return true;
+    for (const Attempt& a : o.attempts) {
+      if (a.ran == Ran::Never) continue;
+      if (c.effect == Effect::Once) return false;
+      if (now + 2 * set.tick >= a.sent + c.key_ttl) return false;
+      const Server& from = servers[a.server].listed;
+      if (c.group == Group::Zone && from.zone != to.listed.zone) return false;
+      if (c.group == Group::Cell && (from.cell < 0 || from.cell != to.listed.cell)) return false;
+    }
+    return true;
+  }
+
+  bool may_refuse(const Open& o) const {
+    const ClassSettings& c = set.classes[o.cls];
+    if (c.effect == Effect::Repeatable || !may_have_run(o)) return true;
+    return c.effect == Effect::Keyed && c.group == Group::All;
+  }
+
+  void timer(Micros after, RequestId id, TimerKind kind) {
+    out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
+  }
+
+  void finish(Open& o) {
+    if (o.closed) return;
+    o.closed = true;
+    if (!o.attempts.empty()) note_end(o, false, false);
+    if (may_refuse(o))
+      out.push_back(Refuse{o.request.id, set.retry_after ? set.max_retry_after / 4 : 0});
+    else
+      out.push_back(Fail{o.request.id});
+    cancel_rest(o);
+  }
+
+  void cancel_rest(const Open& o, int except = -1) {
+    if (!set.may_cancel) return;
+    for (std::size_t k = 0; k < o.attempts.size(); ++k)
+      if (o.attempts[k].ran == Ran::Out && static_cast<int>(k) != except)
+        out.push_back(Cancel{o.request.id, static_cast<int>(k)});
+  }
+
+  void forget_if_done(RequestId id) {
+    auto it = open.find(id);
+    if (it != open.end() && it->second.closed && !any_out(it->second)) open.erase(it);
+  }
+
+  Micros patience(const Open& o) const {
+    const ClassState& c = classes[o.cls];
+    double usual = c.seen > 0 ? c.quantile : static_cast<double>(set.classes[o.cls].aim) / 2;
+    return static_cast<Micros>(
+        std::max(kPatienceFactor * usual, 4.0 * static_cast<double>(set.tick)));
+  }
+
+  /// Aside mode: writes, and reads that a cache answered with a miss, go to the origin.
+  bool wants_origin(const Open& o) const {
+    return set.aside && !set.origin_kind.empty() && (o.request.write || o.missed);
+  }
+
+  /// The origin is never carved: its usable member with the fewest own attempts out.
+  bool send_to_origin(Open& o) {
+    int best = -1;
+    for (const auto& [id, i] : index)
+      if (is_origin(servers[i]) && may_send(o, i) &&
+          (best < 0 || servers[i].in_flight < servers[best].in_flight))
+        best = i;
+    if (best < 0) return false;
+    dispatch(o, best);
+    return true;
+  }
+
+  /// Sends the request onward along its walk; false when no server may take it.
+  bool send(Open& o) {
+    refresh();
+    if (wants_origin(o)) return send_to_origin(o);
+    bool first = o.attempts.empty();
+    bool keep_near = false;
+    Saved* key = first && !o.request.key.empty() ? &seed_of(o.name) : nullptr;
+    if (first) o.seed = key ? key->seed : mix(rng = mix(rng + 1));
+    if (set.cross_zone_charge > 0 && near_pull > 0) keep_near = first ? popular(o.seen) : true;
+    Landing at = walk(o.seed, o, keep_near);
+    if (at.server < 0 && keep_near) at = walk(o.seed, o, false);
+    if (at.server < 0) return false;
+    o.seed = at.seed;
+    if (first)  // admitted ones only: clients repeat what is refused, which is no use of the quota
+      for (std::size_t t = 0; t < set.tenants.size(); ++t)
+        tenant_rate[t] += set.tenants[t].name == o.request.tenant;
+    if (key) {
+      if (key->drawn++ == 0) key->home = at.server;
+      key->seed = at.seed;
+    }
+    dispatch(o, at.server);
+    return true;
+  }
+
+  void dispatch(Open& o, int server) {
+    ServerState& s = servers[server];
+    o.attempts.push_back({server, now});
+    ++s.in_flight, ++total_in_flight;
+    fade_rates();
+    rate_sum += cost_of(o);
+    if (cold(s)) s.cold_tokens -= cost_of(o);
+    Micros left = o.deadline - now;
+    Micros wait = patience(o);
+    bool again = static_cast<int>(o.attempts.size()) < set.max_attempts &&
+                 set.classes[o.cls].effect != Effect::Once && !set.classes[o.cls].streamed;
+    Micros limit = 0;
+    if (again && wait * 3 / 2 < left && !is_origin(s)) {  // never a second copy at the origin
+      if (set.second_copies)
+        timer(wait, o.request.id, kCopyTimer);
+      else
+        limit = wait;
+    }
+    out.push_back(Send{o.request.id, s.listed.id, limit});
+  }
+
+  void go_on(Open& o, Status why) {
+    if (o.closed || any_out(o)) return;
+    double price = why == Status::Full || why == Status::ConnectFailed ? 0.25 : 1;
+    bool time_left = o.deadline - now > 2 * set.tick;
+    if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
+    // A fetch that failed ends in an error, and another server would only ask the origin once more:
+    // what jams it. Errors are worth a retry where they come from one server and not from others.
+    const ServerState& last = servers[o.attempts.back().server];
+    bool futile = why == Status::Error && (errors > kFutileErrors || last.doubt < kServerErrs);
+    // Nor anything while requests are refused: a retry would take the place of a first try. A
+    // refused connection cost nobody.
+    futile |= why != Status::ConnectFailed && shedding();
+    if (!futile && time_left && retry_tokens >= price) {
+      retry_tokens -= price;
+      if (send(o)) return;
+    }
+    finish(o);
+  }
+
+  // ---- list ----
+  void ask(Micros after) { timer(after, ++ask_token, kAskTimer); }
+
+  void list_failed() {
+    watching = asking = false;
+    ask_failures = std::min(ask_failures + 1, 4);
+    double pause = static_cast<double>(kAskBackoff << (ask_failures - 1)) * (0.5 + random());
+    ask(static_cast<Micros>(std::min(pause, 0.8 * static_cast<double>(set.ask_within))));
+  }
+
+  void take_entry(const Server& e) {
+    auto [it, fresh] = index.try_emplace(e.id, static_cast<int>(servers.size()));
+    if (fresh) servers.emplace_back();
+    ServerState& s = servers[it->second];
+    bool restarted = e.up_since != s.listed.up_since || !s.present;
+    Server was = std::move(s.listed);
+    s.listed = e;
+    if (!std::isfinite(e.weight) || e.weight < 0) s.listed.weight = 1;
+    if (e.health == Health::Gone && e.zone.empty())
+      s.listed.zone = was.zone, s.listed.cell = was.cell;
+    s.present = e.health != Health::Gone;
+    if (restarted && s.present) {  // a new process: what was held against the old one is void
+      s.doubt = 0, s.strikes = 0, s.dead_until = 0, s.returned_at = 0;
+      s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0;
+      s.cold_tokens = random(), s.cold_at = now;
+    }
+  }
+
+  void check_settings() const {
+    auto part = [](double v) { return std::isfinite(v) && v >= 0 && v <= 1; };
+    auto amount = [](double v) { return std::isfinite(v) && v >= 0; };
+    require(!set.classes.empty(), "classes");
+    for (const ClassSettings& c : set.classes) {
+      require(c.aim >= 0, "classes.aim");
+      require(c.deadline >= 0, "classes.deadline");
+      require(c.key_ttl >= 0, "classes.key_ttl");
+      require(amount(c.worth), "classes.worth");
+      require(amount(c.late_worth), "classes.late_worth");
+    }
+    for (const TenantSettings& t : set.tenants) {
+      require(amount(t.portion), "tenants.portion");
+      require(amount(t.quota_per_s), "tenants.quota_per_s");
+    }
+    require(set.routers >= 1, "routers");
+    require(set.max_attempts >= 1, "max_attempts");
+    require(set.tick >= 0, "tick");
+    require(set.answer_slack >= 0, "answer_slack");
+    require(set.ask_within >= 0, "ask_within");
+    require(set.drain_grace >= 0, "drain_grace");
+    require(set.max_retry_after >= 0, "max_retry_after");
+    require(part(set.cold_share), "cold_share");
+    require(set.cold_time >= 0, "cold_time");
+    require(amount(set.overload_factor), "overload_factor");
+    require(set.tip_after >= 0, "tip_after");
+    require(amount(set.cross_zone_charge), "cross_zone_charge");
+  }
+
+  void tick(Micros t) {
+    now = std::max(now, t);
+    out.clear();
+  }
+};
+
+Balancer::Balancer(const Settings& settings, std::uint64_t seed, Micros now)
+    : impl_(std::make_unique<Impl>()) {
+  Impl& m = *impl_;
+  m.set = settings;
+  m.check_settings();
+  m.rng = mix(seed);
+  m.now = m.born = m.rate_at = m.shed_at = m.generation_at = now;
+  m.classes.resize(settings.classes.size());
+  m.tenant_rate.resize(settings.tenants.size());
+}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+Actions Balancer::start(Micros now) {
+  Impl& m = *impl_;
+  m.tick(now);
+  if (m.set.must_ask)
+    m.ask(static_cast<Micros>(m.random() * kAskSpread * static_cast<double>(m.set.ask_within)));
+  return std::move(m.out);
+}
+
+Actions Balancer::on_list(Micros now, ListScope scope, const std::vector<Server>& entries) {
+  Impl& m = *impl_;
+  m.tick(now);
+  if (scope == ListScope::Failed) {
+    m.list_failed();
+    return std::move(m.out);
+  }
+  if (scope != ListScope::Cached && m.asking)
+    m.asking = false, m.watching = true, m.ask_failures = 0;
+  if (scope != ListScope::Delta) {
+    std::map<std::string, bool> named;
+    for (const Server& e : entries) named[e.id] = true;
+    for (auto& [id, i] : m.index)
+      if (!named.count(id)) m.servers[i].present = false, m.servers[i].listed.health = Health::Gone;
+  }
+  for (const Server& e : entries) m.take_entry(e);
+  m.carve();
+  return std::move(m.out);
+}
+
+Actions Balancer::on_request(Micros now, const Request& request) {
+  Impl& m = *impl_;
+  m.tick(now);
+  auto [it, fresh] = m.open.try_emplace(request.id);
+  if (!fresh) return {};
+  Impl::Open& o = it->second;
+  o.request = request;
+  for (std::size_t k = 0; k < m.set.classes.size(); ++k)
+    if (m.set.classes[k].name == request.type) o.cls = static_cast<int>(k);
+  o.came = m.now;
+  o.deadline = m.now + std::max<Micros>(0, request.remaining);
+  m.count_arrival(o);
+  o.name = hash_name(request.key);
+  if (!request.key.empty()) m.count_key(o);
+  if (m.turn_away(o) || !m.send(o)) {
+    m.finish(o);
+    m.forget_if_done(request.id);
+    return std::move(m.out);
+  }
+  // The last moment for an answer of our own, a little ahead of the client's.
+  m.timer(request.remaining - 2 * m.set.tick, request.id, kDeadlineTimer);
+  return std::move(m.out);
+}
+
+Actions Balancer::on_first(Micros now, RequestId id, const std::string& server, int attempt,
+                           Micros) {
+  Impl& m = *impl_;
+  m.tick(now);
+  auto it = m.open.find(id);
+  auto at = m.index.find(server);
+  if (it == m.open.end() || at == m.index.end() || attempt < 0) return {};
+  Impl::Open& o = it->second;
+  m.note_success(m.servers[at->second]);
+  // The stream belongs to the client from here: no deadline, no further attempts.
+  o.closed = true;
+  m.cancel_rest(o, attempt);
+  return std::move(m.out);
+}
+
+Actions Balancer::on_outcome(Micros now, const Outcome& r) {
+  Impl& m = *impl_;
+  m.tick(now);
+  auto it = m.open.find(r.id);
+  if (it == m.open.end()) return {};
+  Impl::Open& o = it->second;
+  if (r.attempt < 0 || r.attempt >= static_cast<int>(o.attempts.size())) return {};
+  Impl::Attempt& a = o.attempts[r.attempt];
+  if (a.ran != Impl::Ran::Out) return {};
+  Impl::ServerState& s = m.servers[a.server];
+  --s.in_flight, --m.total_in_flight;
+  bool never = r.status == Status::Full || r.status == Status::ConnectFailed ||
+               r.status == Status::Moot || r.status == Status::Miss;
+  a.ran = never ? Impl::Ran::Never : Impl::Ran::Maybe;
+  m.note_report(s, r.report);
+  follow(m.errors, r.status == Status::Error);
+  if (r.status == Status::Ok || r.status == Status::Timeout)
+    follow(m.late, r.status == Status::Timeout);
+  follow(m.full, r.status == Status::Full);
+  follow(m.unreachable, r.status == Status::ConnectFailed || r.status == Status::Reset);
+  switch (r.status) {
+    case Status::Ok:
+      m.note_success(s);
+      if (!m.is_origin(s)) m.note_latency(s, o.cls, r.latency, true);
+      break;
+    case Status::Miss:
+      m.note_success(s);
+      o.missed = true;
+      break;
+    case Status::Full:  // overloaded, not dead
+      m.note_full(s);
+      break;
+    case Status::Timeout:
+      m.note_failure(s, 1, m.late);
+      m.note_latency(s, o.cls, r.latency, false);
+      break;
+    case Status::Error:
+      m.note_failure(s, 0.5, m.errors);
+      break;
+    case Status::ConnectFailed:
+    case Status::Reset:
+      m.note_failure(s, 1, m.unreachable);
+      break;
+    case Status::Cancelled:
+    case Status::Moot:
+      break;
+  }
+  if (!o.closed) {
+    bool late = m.now - o.came > m.set.classes[o.cls].aim;
+    if (r.status == Status::Ok) m.note_end(o, true, !late);
+  }
+  if (r.finished) {
+    if (!o.closed) m.cancel_rest(o);
+    o.closed = true;
+  } else {
+    m.go_on(o, r.status);
+  }
+  m.forget_if_done(r.id);
+  return std::move(m.out);
+}
+
+Actions Balancer::on_gone(Micros now, RequestId id) {
+  Impl& m = *impl_;
+  m.tick(now);
+  auto it = m.open.find(id);
+  if (it == m.open.end()) return {};
+  if (!it->second.closed) m.cancel_rest(it->second);
+  it->second.closed = true;
+  m.forget_if_done(id);
+  return std::move(m.out);
+}
+
+Actions Balancer::on_timer(Micros now, std::uint64_t token) {
+  Impl& m = *impl_;
+  m.tick(now);
+  std::uint64_t kind = token & 3, id = token >> 2;
+  if (kind == kAskTimer) {
+    if (id != m.ask_token || m.watching) return {};
+    m.asking = true;
+    m.out.push_back(Watch{});
+    m.ask(m.set.ask_within);  // asks again should no answer come at all
+    return std::move(m.out);
+  }
+  auto it = m.open.find(id);
+  if (it == m.open.end() || it->second.closed) return {};
+  Impl::Open& o = it->second;
+  if (kind == kDeadlineTimer) {
+    for (const Impl::Attempt& a : o.attempts)
+      if (a.ran == Impl::Ran::Out && m.now - a.sent > m.patience(o))
+        m.note_stall(m.servers[a.server], 1);
+    m.finish(o);
+  } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
+             m.now - o.attempts.back().sent >= m.patience(o) / 2) {
+    m.note_stall(m.servers[o.attempts.back().server], 0.5);
+    if (m.copy_tokens >= 1 && !m.shedding()) {
+      m.copy_tokens -= 1;
+      m.send(o);
+    }
+  }
+  m.forget_if_done(id);
+  return std::move(m.out);
+}
+
+Actions Balancer::on_probe(Micros now, const std::string& server, Status status, Micros,
+                           const std::vector<double>& report) {
+  Impl& m = *impl_;
+  m.tick(now);
+  auto at = m.index.find(server);
+  if (at == m.index.end()) return {};
+  if (status == Status::Ok) m.note_report(m.servers[at->second], report);
+  return {};
+}
+
+Balancer::Stats Balancer::stats() const {
+  return {impl_->open.size(), impl_->saved.size(),
+          impl_->counts[0].size() + impl_->counts[1].size(), impl_->servers.size(), impl_->draws};
+}
+
+std::string Balancer::home(const std::string& key) const {
+  std::uint64_t seed = hash_name(key);
+  int left = kMaxDraws;
+  int i = impl_->next_live(seed, left);
+  return i < 0 ? std::string() : impl_->servers[i].listed.id;
+}
+
+double Balancer::live_fraction(const std::string& server) const {
+  auto at = impl_->index.find(server);
+  return at == impl_->index.end() ? 0 : impl_->live(impl_->servers[at->second]);
+}
+
+}  // namespace robinseam
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,73 @@
+// What can't be used is named; what may be left out has a default.
+#include "net/config.hpp"
+
+#include <gtest/gtest.h>
+
+#include "loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+std::string error_of(const std::string& json) {
+  try {
+    parse_config(json);
+  } catch (const ConfigError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(Config, IsReadWhole) {
+  ConfigText text;
+  text.hosts = {host_json("s-1", "10.0.0.1:5", "leaving", 1795833164450)};
+  Config c = parse_config(text.text());
+  EXPECT_EQ(c.name, "n0");
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.sockets, 256u);
+  EXPECT_EQ(c.memory_bytes, 128u << 20);
+  ASSERT_EQ(c.known.hosts.size(), 1u);
+  EXPECT_EQ(c.known.version, "1");
+  EXPECT_EQ(c.known.hosts[0].server.up_since, 1795833164450000);
+  EXPECT_EQ(c.known.hosts[0].server.health, robinseam::Health::Draining);
+  EXPECT_EQ(c.known.hosts[0].dial, "10.0.0.1:5");
+  ASSERT_EQ(c.settings.classes.size(), 3u);
+  EXPECT_EQ(c.settings.classes[1].name, "put");
+  EXPECT_EQ(c.settings.classes[1].effect, robinseam::Effect::Keyed);
+  EXPECT_EQ(c.settings.report_fields.size(), 3u);
+  EXPECT_EQ(c.settings.zones, std::vector<std::string>{"a"});
+  EXPECT_EQ(c.settings.drain_grace, 500'000);
+  EXPECT_TRUE(c.settings.must_ask);
+  EXPECT_EQ(c.links.streams, 32);
+  EXPECT_EQ(c.links.dial_timeout, 75'000);
+}
+
+TEST(Config, ErrorsNameTheSetting) {
+  EXPECT_NE(error_of("{").find("NODE_CONFIG"), std::string::npos);
+  EXPECT_NE(error_of("[]").find("NODE_CONFIG"), std::string::npos);
+  EXPECT_NE(error_of("{}").find("settings"), std::string::npos);
+  EXPECT_NE(error_of(R"({"seed":"xyz","settings":{}})").find("seed"), std::string::npos);
+  EXPECT_NE(error_of(R"({"listen":7,"settings":{}})").find("listen"), std::string::npos);
+  EXPECT_NE(error_of(R"({"limits":{"sockets":"x"},"settings":{}})").find("limits.sockets"),
+            std::string::npos);
+  EXPECT_NE(error_of(R"({"known":{"seq":1},"settings":{}})").find("known"), std::string::npos);
+  EXPECT_NE(error_of(R"({"settings":{"Limits":{"MaxAttempts":"x"}}})").find("Limits.MaxAttempts"),
+            std::string::npos);
+  EXPECT_NE(error_of(R"({"settings":{"Limits":{"StreamsPerConn":0}}})").find("StreamsPerConn"),
+            std::string::npos);
+}
+
+TEST(Config, AListsEntriesAreChecked) {
+  EXPECT_THROW(parse_host_list(R"({"seq":1,"whole":true,"hosts":[{"dial":"1.2.3.4:5"}]})"),
+               ConfigError);
+  EXPECT_THROW(parse_host_list(
+                   R"({"seq":1,"whole":true,"hosts":[{"host":"a","dial":"b","health":"odd"}]})"),
+               ConfigError);
+  EXPECT_THROW(parse_host_list(R"({"seq":1,"whole":true,"hosts":{}})"), ConfigError);
+  HostList gone =
+      parse_host_list(R"({"seq":"v2","whole":false,"hosts":[{"host":"a","health":"left"}]})");
+  EXPECT_EQ(gone.version, "v2");
+  EXPECT_EQ(gone.hosts[0].server.health, robinseam::Health::Gone);
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/drive_test.cpp
@@ -0,0 +1,215 @@
+// A seeded drive of legal but unkind events, watched by the independent checker.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "checker.hpp"
+#include "support.hpp"
+
+namespace robinseam::test {
+namespace {
+
+struct Drive {
+  Settings set = basic_settings();
+  std::vector<std::string> breaks;
+  int sends = 0, answers = 0;
+  std::string trace;
+
+  /// `tamper` may change actions before they are carried out, to show that the checker notices.
+  template <typename Tamper>
+  void run(std::uint64_t seed, Tamper tamper) {
+    std::mt19937_64 rng(
+        seed);  // the engine's output is fixed by the standard; no std distributions
+    auto pick = [&](std::uint64_t n) { return rng() % n; };
+    auto list = fleet(9);
+    const char* zones[] = {"a", "b", "c"};
+    for (std::size_t k = 0; k < list.size(); ++k) list[k].zone = zones[k % 3], list[k].cell = k / 3;
+    set.zones = {"a", "b", "c"};
+    set.second_copies = pick(2);
+    set.cross_zone_charge = 0.1 * pick(2);
+    set.report_fields = {ReportField::Utilization, ReportField::Queue};
+    set.must_ask = pick(2);
+    set.classes.resize(1);
+    for (auto [name, effect, group] : {std::tuple{"keyed", Effect::Keyed, Group::All},
+                                       {"zoned", Effect::Keyed, Group::Zone},
+                                       {"celled", Effect::Keyed, Group::Cell},
+                                       {"once", Effect::Once, Group::All}}) {
+      ClassSettings c = set.classes[0];
+      c.name = name, c.effect = effect, c.group = group, c.key_ttl = 200 * kMs;
+      set.classes.push_back(c);
+    }
+
+    Balancer b(set, seed, 1);
+    RuleChecker checker(set, 40);  // 200 requests a second over 9 servers, at 0.55 of capacity
+    struct Event {
+      int kind;  // 0 outcome, 1 timer
+      Outcome outcome;
+      std::uint64_t token;
+    };
+    std::multimap<Micros, Event> due;
+    std::map<RequestId, int> tries;
+    std::map<RequestId, bool> ended;
+    Micros now = 1;
+
+    auto carry_out = [&](Actions actions) {
+      tamper(actions);
+      checker.actions(now, actions);
+      for (const Action& a : actions) {
+        trace += static_cast<char>('0' + a.index());
+        if (const Send* s = std::get_if<Send>(&a)) {
+          ++sends;
+          trace += s->server;
+          Event e{0, ended_outcome(*s, tries[s->id]++, pick(100)), 0};
+          Micros after = pick(20) == 0 ? 400 * kMs + pick(400) * kMs : 1 + pick(60 * kMs);
+          e.outcome.latency = after;
+          due.emplace(now + after, e);
+        } else if (const Timer* t = std::get_if<Timer>(&a)) {
+          due.emplace(now + t->after, Event{1, {}, t->token});
+        } else if (const Refuse* r = std::get_if<Refuse>(&a)) {
+          ended[r->id] = true, ++answers;
+        } else if (const Fail* f = std::get_if<Fail>(&a)) {
+          ended[f->id] = true, ++answers;
+        }
+      }
+    };
+    auto tell = [&](ListScope scope, std::vector<Server> entries) {
+      checker.list(now, scope, entries);
+      carry_out(b.on_list(now, scope, entries));
+    };
+
+    carry_out(b.start(now));
+    tell(ListScope::Cached, list);
+    for (RequestId id = 1; id < 4000; ++id) {
+      Micros next = now + 5 * kMs;
+      while (!due.empty() && due.begin()->first <= next) {
+        auto [at, e] = *due.begin();
+        due.erase(due.begin());
+        now = std::max(now, at);
+        if (e.kind == 1) {
+          carry_out(b.on_timer(now, e.token));
+          continue;
+        }
+        e.outcome.finished = ended[e.outcome.id] || e.outcome.status == Status::Ok;
+        if (e.outcome.finished) ended[e.outcome.id] = true;
+        checker.outcome(e.outcome);
+        carry_out(b.on_outcome(now, e.outcome));
+      }
+      now = next;
+      checker.clock(now);
+      Server& s = list[pick(list.size())];
+      switch (pick(900)) {
+        case 0:
+          s.health = Health::Draining;
+          tell(ListScope::Delta, {s});
+          break;
+        case 1:
+          s.health = Health::Gone;
+          tell(ListScope::Delta, {s});
+          break;
+        case 2:
+        case 3:
+        case 7:
+        case 8:
+        case 9:
+          s.health = Health::Ready;
+          s.up_since = now;
+          tell(ListScope::Delta, {s});
+          break;
+        case 4: {  // a complete list without those gone
+          std::vector<Server> full;
+          for (const Server& k : list)
+            if (k.health != Health::Gone) full.push_back(k);
+          tell(ListScope::Full, full);
+          break;
+        }
+        case 5:
+          tell(ListScope::Failed, {});
+          break;
+        case 6:
+          if (id > 1 && !ended[id - 1]) {
+            ended[id - 1] = true;
+            checker.gone(id - 1);
+            carry_out(b.on_gone(now, id - 1));
+          }
+          break;
+        default:
+          break;
+      }
+      Request r =
+          read_of(id, "k" + std::to_string(pick(1 + pick(300))), 50 * kMs + pick(500) * kMs);
+      r.type = set.classes[pick(set.classes.size())].name;
+      checker.request(now, r);
+      carry_out(b.on_request(now, r));
+    }
+    breaks = checker.breaks();
+  }
+
+  static Outcome ended_outcome(const Send& s, int attempt, std::uint64_t dice) {
+    Status status = dice < 84   ? Status::Ok
+                    : dice < 87 ? Status::Error
+                    : dice < 90 ? Status::Full
+                    : dice < 93 ? Status::Timeout
+                    : dice < 95 ? Status::ConnectFailed
+                    : dice < 98 ? Status::Reset
+                                : Status::Moot;
+    Outcome o = ended(s.id, s.server, status, attempt);
+    o.report = {static_cast<double>(dice) / 100, static_cast<double>(dice % 7)};
+    return o;
+  }
+};
+
+auto untouched = [](Actions&) {};
+
+TEST(RandomDrive, KeepsTheRules) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    Drive d;
+    d.run(seed, untouched);
+    EXPECT_TRUE(d.breaks.empty()) << "seed " << seed << ": " << d.breaks.front();
+    EXPECT_GT(d.sends, 1000);
+    EXPECT_GT(d.answers, 50);
+  }
+}
+
+TEST(RandomDrive, IsRepeatable) {
+  Drive a, b;
+  a.run(5, untouched);
+  b.run(5, untouched);
+  EXPECT_EQ(a.trace, b.trace);
+}
+
+bool noticed(const Drive& d, const std::string& rule) {
+  return std::any_of(d.breaks.begin(), d.breaks.end(),
+                     [&](const std::string& b) { return b.rfind("rule " + rule, 0) == 0; });
+}
+
+TEST(RandomDrive, CheckerNoticesALostAnswer) {
+  Drive d;
+  d.run(1, [](Actions& actions) {
+    std::erase_if(actions, [](const Action& a) { return std::holds_alternative<Refuse>(a); });
+  });
+  EXPECT_TRUE(noticed(d, "1"));
+}
+
+TEST(RandomDrive, CheckerNoticesAFalseRefusal) {
+  Drive d;
+  d.run(1, [](Actions& actions) {
+    for (Action& a : actions)
+      if (const Fail* f = std::get_if<Fail>(&a)) a = Refuse{f->id, 0};
+  });
+  EXPECT_TRUE(noticed(d, "2"));
+}
+
+TEST(RandomDrive, CheckerNoticesSendsToOneServerWhateverItsState) {
+  Drive d;
+  d.run(1, [](Actions& actions) {
+    for (Action& a : actions)
+      if (Send* s = std::get_if<Send>(&a)) s->server = "10.0.0.1:80";
+  });
+  EXPECT_TRUE(noticed(d, "3"));
+  EXPECT_TRUE(noticed(d, "4"));
+}
+
+}  // namespace
+}  // namespace robinseam::test
--- /dev/null
+++ b/tests/loopback.hpp
@@ -0,0 +1,250 @@
+// Scripted peers on ephemeral loopback ports, and a router on a thread of its own. The test plays
+// client, cache server and discovery with blocking sockets that give up after kPatience.
+#pragma once
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/router.hpp"
+
+namespace arrowfork::test {
+
+constexpr int kPatienceMs = 20'000;
+
+/// One connection, used by blocking calls.
+class Link {
+ public:
+  explicit Link(Fd fd = Fd()) : fd_(std::move(fd)) {
+    timeval limit{kPatienceMs / 1000, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  }
+  static Link to(std::uint16_t port) {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    auto address = parse_address("127.0.0.1:" + std::to_string(port));
+    if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address) != 0)
+      ADD_FAILURE() << "connect";
+    return Link(std::move(fd));
+  }
+  int fd() const { return fd_.get(); }
+  void close() { fd_.reset(); }
+  void send_reset() {  // closes with a reset
+    linger now{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd_.reset();
+  }
+  void end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
+  void write(std::string_view text) {
+    while (!text.empty()) {
+      ssize_t put = ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL);
+      if (put <= 0) {
+        ADD_FAILURE() << "write";
+        return;
+      }
+      text.remove_prefix(static_cast<std::size_t>(put));
+    }
+  }
+  /// The next line with its end; what came before an end of the stream otherwise.
+  std::string line() {
+    while (true) {
+      std::size_t end = buffer_.find('\n');
+      if (end != buffer_.npos) return cut(end + 1);
+      if (!fill()) return cut(buffer_.size());
+    }
+  }
+  std::string bytes(std::size_t count) {
+    while (buffer_.size() < count)
+      if (!fill()) return cut(buffer_.size());
+    return cut(count);
+  }
+  /// True when the peer ends the connection, orderly or not, with nothing unread.
+  bool ends() {
+    if (!buffer_.empty()) return false;
+    return !fill() && !timed_out_;
+  }
+  /// True when nothing comes for `ms`.
+  bool silent(int ms) const {
+    if (!buffer_.empty()) return false;
+    pollfd p{fd_.get(), POLLIN, 0};
+    return ::poll(&p, 1, ms) == 0;
+  }
+
+ private:
+  bool fill() {
+    char data[65536];
+    ssize_t got = ::recv(fd_.get(), data, sizeof data, 0);
+    timed_out_ = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (timed_out_) ADD_FAILURE() << "nothing came";
+    if (got <= 0) return false;
+    buffer_.append(data, static_cast<std::size_t>(got));
+    return true;
+  }
+  std::string cut(std::size_t size) {
+    std::string text = buffer_.substr(0, size);
+    buffer_.erase(0, size);
+    return text;
+  }
+  Fd fd_;
+  std::string buffer_;
+  bool timed_out_ = false;
+};
+
+/// A listening peer.
+class Peer {
+ public:
+  Peer() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    auto address = parse_address("127.0.0.1:0");
+    ::bind(fd_.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address);
+    ::listen(fd_.get(), 64);
+    socklen_t size = sizeof *address;
+    ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&*address), &size);
+    port_ = ntohs(address->sin_port);
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  Link accept() {
+    pollfd p{fd_.get(), POLLIN, 0};
+    if (::poll(&p, 1, kPatienceMs) != 1) {
+      ADD_FAILURE() << "nobody connects";
+      return Link();
+    }
+    return Link(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
+  }
+  bool nobody_comes(int ms) const {
+    pollfd p{fd_.get(), POLLIN, 0};
+    return ::poll(&p, 1, ms) == 0;
+  }
+  int fd() const { return fd_.get(); }
+  void close() { fd_.reset(); }  ///< from here on connects are refused
+
+ private:
+  Fd fd_;
+  std::uint16_t port_ = 0;
+};
+
+/// The peer that somebody connects to first; its index.
+inline std::size_t first_called(const std::vector<Peer*>& peers) {
+  std::vector<pollfd> fds;
+  for (Peer* p : peers) fds.push_back({p->fd(), POLLIN, 0});
+  if (::poll(fds.data(), fds.size(), kPatienceMs) <= 0) ADD_FAILURE() << "nobody connects";
+  for (std::size_t k = 0; k < fds.size(); ++k)
+    if (fds[k].revents) return k;
+  return 0;
+}
+
+inline std::string host_json(const std::string& id, const std::string& dial,
+                             const std::string& health = "active", long long born_ms = 0) {
+  return R"({"host":")" + id + R"(","dial":")" + dial +
+         R"(","site":"a","class":"std","block":0,"health":")" + health +
+         R"(","share":1.0,"born_ms":)" + std::to_string(born_ms) + "}";
+}
+
+inline std::string list_json(int seq, bool whole, const std::vector<std::string>& hosts) {
+  std::string joined;
+  for (const std::string& h : hosts) joined += (joined.empty() ? "" : ",") + h;
+  return R"({"seq":)" + std::to_string(seq) + R"(,"whole":)" + (whole ? "true" : "false") +
+         R"(,"hosts":[)" + joined + "]}";
+}
+
+struct ConfigText {
+  std::vector<std::string> hosts;
+  std::string discovery = "127.0.0.1:9";
+  std::string mode = "subscribe";
+  int sockets = 256;
+  int streams = 32;
+  int routers = 2;
+  long long keepalive_us = 15'000'000;
+  long long dial_timeout_us = 75'000;
+
+  std::string text() const {
+    return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discovery +
+           R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":128,"sockets":)" +
+           std::to_string(sockets) + R"(},"known":)" + list_json(1, true, hosts) +
+           R"(,"settings":{"Az":"a","Balancers":)" + std::to_string(routers) +
+           R"(,"Classes":[
+             {"Name":"read","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"repeatable","Worth":3.0},
+             {"Name":"put","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"by_key","Group":"all","KeyTtlUs":5000000,"Worth":2.0},
+             {"Name":"pay","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"once","Worth":2.0}],
+             "FailureDomains":["a"],"MachineTypes":["std"],"Domain":{"Mode":"through","OriginKind":-1},
+             "Limits":{"MaxAttempts":5,"MayCancel":true,"SecondCopies":false,"StreamsPerConn":)" +
+           std::to_string(streams) + R"(,"KeepaliveUs":)" + std::to_string(keepalive_us) +
+           R"(,"DialTimeoutUs":)" + std::to_string(dial_timeout_us) +
+           R"(,"MaxOpen":1000},"MembershipMode":")" + mode +
+           R"(","Report":{"Fields":["load_share","mean_ms","x0"],"How":"inline"},
+             "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.3,"ColdUs":8000000,"DrainGraceUs":500000,"OverloadFactor":4.0,"TipAfterUs":1500000},
+             "TickUs":2000,"Weights":"nominal"}})";
+  }
+};
+
+/// A router on a thread of its own, ended without a drain unless terminate() is called.
+class RunningRouter {
+ public:
+  explicit RunningRouter(const ConfigText& config) {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) ADD_FAILURE() << "pipe";
+    orders_ = Fd(ends[1]);
+    std::promise<std::uint16_t> port;
+    auto known = port.get_future();
+    thread_ = std::thread([config, in = ends[0], &port] {
+      Fd order(in);
+      EventBasePtr base(event_base_new());
+      Router router(base.get(), parse_config(config.text()));
+      std::string error;
+      if (!router.listen(error)) ADD_FAILURE() << error;
+      struct Told {
+        int fd;
+        Router* router;
+      } told{order.get(), &router};
+      auto obey = [](evutil_socket_t fd, short, void* self) {
+        char what = 'q';
+        ssize_t got = ::read(fd, &what, 1);
+        auto* t = static_cast<Told*>(self);
+        if (got == 1 && what == 't')
+          t->router->stop();
+        else
+          t->router->quit();
+      };
+      EventPtr orders(event_new(base.get(), order.get(), EV_READ | EV_PERSIST, obey, &told));
+      event_add(orders.get(), nullptr);
+      port.set_value(router.port());
+      router.run();
+    });
+    port_ = known.get();
+  }
+  ~RunningRouter() {
+    if (!thread_.joinable()) return;
+    order('q');
+    thread_.join();
+  }
+  Link client() const { return Link::to(port_); }
+  /// As SIGTERM.
+  void terminate() { order('t'); }
+  void wait_for_end() { thread_.join(); }
+
+ private:
+  void order(char what) {
+    if (::write(orders_.get(), &what, 1) != 1) ADD_FAILURE() << "order";
+  }
+  Fd orders_;
+  std::thread thread_;
+  std::uint16_t port_ = 0;
+};
+
+/// The id of a command line, from its `O`.
+inline std::string id_of(const std::string& line) {
+  std::size_t at = line.find(" O");
+  return at == line.npos ? "" : line.substr(at + 2, line.find(' ', at + 2) - at - 2);
+}
+
+inline std::string value_answer(const std::string& id, const std::string& value,
+                                const std::string& flags = "") {
+  return "VA " + std::to_string(value.size()) + " O" + id + flags + "\r\n" + value + "\r\n";
+}
+
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,497 @@
+// The router over loopback sockets, between scripted clients, cache servers and discovery.
+#include "loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+std::string get(const std::string& id, const std::string& key = "key",
+                const std::string& wait = "15000") {
+  return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + wait + ",h=1200\r\n";
+}
+
+std::string put(const std::string& id, const std::string& value, const std::string& type = "put") {
+  return "ms key " + std::to_string(value.size()) + " O" + id + " Pc=" + type +
+         ",t=acme,d=15000,k=77\r\n" + value + "\r\n";
+}
+
+ConfigText one_server(const Peer& server) {
+  ConfigText c;
+  c.hosts = {host_json("s-1", server.address())};
+  return c;
+}
+
+TEST(Router, AReadGoesOnUnchangedButForTheWaitAndItsValueComesBack) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  client.write(get("a1"));
+  Link at_server = server.accept();
+  std::string line = at_server.line();
+  std::size_t d = line.find(",d=");
+  ASSERT_NE(d, line.npos) << line;
+  EXPECT_EQ(line.substr(0, d), "mg key v Oa1 Pc=read,t=acme");
+  int wait = std::atoi(line.c_str() + d + 3);
+  EXPECT_LE(wait, 15000);
+  EXPECT_GT(wait, 1000);
+  EXPECT_EQ(line.substr(line.find(",h=")), ",h=1200\r\n");
+  at_server.write(value_answer("a1", "he\r\no", " h1 Lload_share=0.1,mean_ms=4,x0=0.9"));
+  EXPECT_EQ(client.line(), "VA 5 Oa1\r\n");
+  EXPECT_EQ(client.bytes(7), "he\r\no\r\n");
+}
+
+TEST(Router, AWriteGoesOnWithItsValueAndItsReceiptComesBack) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  std::string command = put("b1", "hello");
+  for (char c : command) client.write(std::string_view(&c, 1));  // a slow writer
+  Link at_server = server.accept();
+  std::string line = at_server.line();
+  EXPECT_EQ(line.substr(0, 29), "ms key 5 Ob1 Pc=put,t=acme,d=") << line;
+  EXPECT_EQ(line.substr(line.find(",k=")), ",k=77\r\n");
+  EXPECT_EQ(at_server.bytes(7), "hello\r\n");
+  at_server.write("HD Ob1 c9f\r\n");
+  EXPECT_EQ(client.line(), "HD Ob1 c9f\r\n");
+}
+
+TEST(Router, NoopAndBadInputAreAnsweredAndHarmNoOtherConnection) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client(), other = router.client();
+  client.write("mn\r\nget a\r\nmg \r\nms k 3 O1\r\nabc\r\nmn\r\n");
+  EXPECT_EQ(client.line(), "MN\r\n");
+  EXPECT_EQ(client.line(), "ERROR\r\n");
+  EXPECT_EQ(client.line().substr(0, 12), "CLIENT_ERROR");
+  EXPECT_EQ(client.line().substr(0, 12), "CLIENT_ERROR");
+  EXPECT_EQ(client.line(), "MN\r\n");
+  client.write("ms k many O1 Pc=put\r\n");
+  EXPECT_EQ(client.line().substr(0, 12), "CLIENT_ERROR");
+  EXPECT_TRUE(client.ends());
+  Link endless = router.client();
+  endless.write(std::string(kMaxLine + 1, 'x'));
+  EXPECT_EQ(endless.line().substr(0, 12), "CLIENT_ERROR");
+  EXPECT_TRUE(endless.ends());
+  other.write("mn\r\n");
+  EXPECT_EQ(other.line(), "MN\r\n");
+}
+
+TEST(Router, PipelinedCommandsAreAnsweredInTheirOrder) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  client.write(get("c1") + "mn\r\n" + get("c2", "other"));
+  Link first = server.accept(), second = server.accept();
+  std::string id = id_of(first.line());
+  if (id == "c2") std::swap(first, second), id = id_of(first.line());
+  ASSERT_EQ(id, "c1");
+  ASSERT_EQ(id_of(second.line()), "c2");
+  second.write(value_answer("c2", "two"));
+  EXPECT_TRUE(client.silent(50));
+  first.write(value_answer("c1", "one"));
+  EXPECT_EQ(client.line(), "VA 3 Oc1\r\n");
+  EXPECT_EQ(client.line(), "one\r\n");
+  EXPECT_EQ(client.line(), "MN\r\n");
+  EXPECT_EQ(client.line(), "VA 3 Oc2\r\n");
+  EXPECT_EQ(client.line(), "two\r\n");
+}
+
+TEST(Router, AConnectionIsUsedAgain) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  client.write(get("d1"));
+  Link at_server = server.accept();
+  for (std::string id : {"d1", "d2", "d3"}) {
+    if (id != "d1") client.write(get(id));
+    EXPECT_EQ(id_of(at_server.line()), id);
+    at_server.write(value_answer(id, "v"));
+    EXPECT_EQ(client.line(), "VA 1 O" + id + "\r\n");
+    EXPECT_EQ(client.line(), "v\r\n");
+  }
+  EXPECT_TRUE(server.nobody_comes(0));
+}
+
+/// Two servers; the client's read reaches one, which `spoils` its attempt.
+class Spoiled : public testing::Test {
+ protected:
+  Spoiled() {
+    config_.hosts = {host_json("s-1", a_.address()), host_json("s-2", b_.address())};
+  }
+  void start(const std::string& command) {
+    router_ = std::make_unique<RunningRouter>(config_);
+    client_ = router_->client();
+    client_.write(command);
+    std::size_t who = first_called({&a_, &b_});
+    hit_ = who == 0 ? &a_ : &b_;
+    spare_ = who == 0 ? &b_ : &a_;
+    link_ = hit_->accept();
+  }
+  void expect_retry(const std::string& id) {
+    Link second = spare_->accept();
+    EXPECT_EQ(id_of(second.line()), id);
+    second.write(value_answer(id, "fine"));
+    EXPECT_EQ(client_.line(), "VA 4 O" + id + "\r\n");
+    EXPECT_EQ(client_.line(), "fine\r\n");
+  }
+  Peer a_, b_;
+  ConfigText config_;
+  std::unique_ptr<RunningRouter> router_;
+  Link client_, link_;
+  Peer* hit_ = nullptr;
+  Peer* spare_ = nullptr;
+};
+
+TEST_F(Spoiled, AResetIsRetriedElsewhere) {
+  start(get("e1"));
+  link_.line();
+  link_.send_reset();
+  expect_retry("e1");
+}
+
+TEST_F(Spoiled, AnEndAmidTheValueIsRetriedElsewhere) {
+  start(get("e2"));
+  link_.line();
+  link_.write("VA 5 Oe2 h1\r\nhel");
+  link_.close();
+  expect_retry("e2");
+}
+
+// docs/incidents/rdc2826.md. The wait is too short for the module's own patience to run out first.
+TEST_F(Spoiled, AnAnswerThatBreaksOffInSilenceIsRetriedElsewhere) {
+  start(get("e9", "key", "3000"));
+  link_.line();
+  link_.write("VA 5 Oe9 h1\r\nhel");
+  expect_retry("e9");
+  EXPECT_TRUE(link_.ends());
+}
+
+TEST_F(Spoiled, GarbageEndsTheConnection) {
+  start(get("e3"));
+  link_.line();
+  link_.write("HTTP/1.1 200 OK\r\n");
+  expect_retry("e3");
+  EXPECT_TRUE(link_.ends());
+}
+
+TEST_F(Spoiled, AnAnswerToAnotherRequestEndsTheConnection) {
+  start(get("e4"));
+  link_.line();
+  link_.write(value_answer("e5", "wrong"));
+  expect_retry("e4");
+  EXPECT_TRUE(link_.ends());
+}
+
+TEST_F(Spoiled, AnUnaskedAnswerEndsTheConnection) {
+  start(get("e6"));
+  link_.line();
+  link_.write(value_answer("e6", "good") + value_answer("e6", "again"));
+  EXPECT_EQ(client_.line(), "VA 4 Oe6\r\n");
+  EXPECT_EQ(client_.line(), "good\r\n");
+  EXPECT_TRUE(link_.ends());
+  EXPECT_TRUE(client_.silent(50));
+}
+
+TEST_F(Spoiled, BusyIsRetriedElsewhereAndTheConnectionKept) {
+  start(get("e7"));
+  link_.line();
+  link_.write("SERVER_ERROR busy Lload_share=1,mean_ms=9,x0=0.5\r\n");
+  expect_retry("e7");
+  EXPECT_TRUE(link_.silent(50));
+}
+
+TEST_F(Spoiled, AWriteThatMustNotRunTwiceFailsWhenItMayHaveRun) {
+  start(put("e8", "x", "pay"));
+  link_.line();
+  link_.send_reset();
+  std::string answer = client_.line();
+  EXPECT_EQ(answer, "SERVER_ERROR failed\r\n");  // busy would say that it never ran
+  EXPECT_TRUE(spare_->nobody_comes(100));
+}
+
+TEST(Router, ARefusedConnectIsRetriedElsewhereAlsoForAWriteThatMustNotRunTwice) {
+  Peer gone, server;
+  ConfigText config;
+  config.hosts = {host_json("s-1", gone.address()), host_json("s-2", server.address())};
+  gone.close();
+  RunningRouter router(config);
+  Link client = router.client();
+  for (int k = 0; k < 4; ++k) {  // some of these keys have their home at the dead one
+    std::string id = "f" + std::to_string(k);
+    client.write(put(id, "x", "pay"));
+    static thread_local Link at_server;
+    if (k == 0) at_server = server.accept();
+    EXPECT_EQ(id_of(at_server.line()), id);
+    EXPECT_EQ(at_server.bytes(3), "x\r\n");
+    at_server.write("HD O" + id + " c1\r\n");
+    EXPECT_EQ(client.line(), "HD O" + id + " c1\r\n");
+  }
+}
+
+TEST(Router, WithNoServerARequestIsRefused) {
+  ConfigText config;
+  RunningRouter router(config);
+  Link client = router.client();
+  client.write(get("g1"));
+  EXPECT_EQ(client.line(), "SERVER_ERROR busy\r\n");
+}
+
+TEST(Router, ASilentServersRequestIsAnsweredInTimeAndItsLateAnswerDropped) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  client.write(get("h1", "key", "120"));
+  Link at_server = server.accept();
+  at_server.line();
+  EXPECT_EQ(client.line().substr(0, 12), "SERVER_ERROR");
+  at_server.write(value_answer("h1", "late"));
+  EXPECT_TRUE(client.silent(50));
+  client.write(get("h2"));
+  EXPECT_EQ(id_of(at_server.line()), "h2");  // the connection is whole and used again
+  at_server.write(value_answer("h2", "good"));
+  EXPECT_EQ(client.line(), "VA 4 Oh2\r\n");
+}
+
+TEST(Router, AHalfClosedClientStillGetsItsAnswer) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  client.write(get("i1"));
+  client.end_sending();
+  Link at_server = server.accept();
+  at_server.line();
+  EXPECT_TRUE(client.silent(50));
+  at_server.write(value_answer("i1", "good"));
+  EXPECT_EQ(client.line(), "VA 4 Oi1\r\n");
+  EXPECT_EQ(client.line(), "good\r\n");
+  EXPECT_TRUE(client.ends());
+}
+
+TEST(Router, NothingNewIsSentForAClientThatHasLeft) {
+  Peer a, b;
+  ConfigText config;
+  config.hosts = {host_json("s-1", a.address()), host_json("s-2", b.address())};
+  RunningRouter router(config);
+  Link client = router.client();
+  client.write(get("j1"));
+  Peer* hit = first_called({&a, &b}) == 0 ? &a : &b;
+  Link at_server = hit->accept();
+  at_server.line();
+  client.close();
+  // A second client's round trip: by then the router has seen the close.
+  Link other = router.client();
+  other.write("mn\r\n");
+  EXPECT_EQ(other.line(), "MN\r\n");
+  at_server.send_reset();
+  EXPECT_TRUE((hit == &a ? b : a).nobody_comes(100));
+}
+
+TEST(Router, LargeValuesPassBothWays) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  std::string value(3u << 20, '\0');
+  for (std::size_t k = 0; k < value.size(); ++k) value[k] = static_cast<char>(k * 2654435761u >> 13);
+  std::string command = put("k1", value);
+  std::thread writer([&] { client.write(command); });
+  Link at_server = server.accept();
+  EXPECT_EQ(id_of(at_server.line()), "k1");
+  EXPECT_TRUE(at_server.bytes(value.size()) == value);
+  EXPECT_EQ(at_server.bytes(2), "\r\n");
+  writer.join();
+  at_server.write("HD Ok1 c1\r\n");
+  EXPECT_EQ(client.line(), "HD Ok1 c1\r\n");
+  client.write(get("k2"));
+  EXPECT_EQ(id_of(at_server.line()), "k2");
+  std::string answer = value_answer("k2", value, " h1");
+  std::thread answerer([&] { at_server.write(answer); });
+  EXPECT_EQ(client.line(), "VA " + std::to_string(value.size()) + " Ok2\r\n");
+  EXPECT_TRUE(client.bytes(value.size()) == value);
+  EXPECT_EQ(client.bytes(2), "\r\n");
+  answerer.join();
+}
+
+TEST(Router, ALargeValueThatBreaksOffEndsTheClientsConnection) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client();
+  client.write(get("l1"));
+  Link at_server = server.accept();
+  at_server.line();
+  at_server.write("VA 100000 Ol1 h1\r\n" + std::string(50000, 'v'));
+  EXPECT_EQ(client.line(), "VA 100000 Ol1\r\n");
+  EXPECT_EQ(client.bytes(50000).size(), 50000u);
+  at_server.close();
+  EXPECT_TRUE(client.ends());
+}
+
+TEST(Router, IdleConnectionsAreClosedBeforeTheServerDoesIt) {
+  Peer server;
+  ConfigText config = one_server(server);
+  config.keepalive_us = 1'000'000;
+  RunningRouter router(config);
+  Link client = router.client();
+  client.write(get("m1"));
+  Link at_server = server.accept();
+  at_server.line();
+  at_server.write(value_answer("m1", "v"));
+  EXPECT_EQ(client.line(), "VA 1 Om1\r\n");
+  EXPECT_TRUE(at_server.ends());
+}
+
+// docs/incidents/r1c57c6.md. By the settings alone the second connection would stay for 36 s.
+TEST(Router, HowSoonAServerEndsIdleConnectionsIsLearned) {
+  Peer server;
+  ConfigText config = one_server(server);
+  config.keepalive_us = 60'000'000;
+  RunningRouter router(config);
+  Link client = router.client();
+  client.write(get("x1"));
+  Link first = server.accept();
+  first.line();
+  first.write(value_answer("x1", "v"));
+  EXPECT_EQ(client.line(), "VA 1 Ox1\r\n");
+  EXPECT_EQ(client.line(), "v\r\n");
+  EXPECT_TRUE(first.silent(200));
+  first.close();
+  client.write(get("x2"));
+  Link second = server.accept();
+  second.line();
+  second.write(value_answer("x2", "v"));
+  EXPECT_EQ(client.line(), "VA 1 Ox2\r\n");
+  EXPECT_TRUE(second.ends());
+}
+
+// docs/incidents/refbcc6.md. Twelve requests at once: none waits behind another.
+TEST(Router, WithinTheCapNoAttemptWaitsBehindAnother) {
+  Peer server;
+  ConfigText config = one_server(server);
+  RunningRouter router(config);
+  std::vector<Link> clients, at_server;
+  for (int k = 0; k < 12; ++k) {
+    clients.push_back(router.client());
+    clients.back().write(get("w" + std::to_string(k), "key" + std::to_string(k)));
+    at_server.push_back(server.accept());
+    EXPECT_EQ(id_of(at_server.back().line()), "w" + std::to_string(k));
+  }
+  for (int k = 11; k >= 0; --k) {  // the last one is answered first
+    std::string id = "w" + std::to_string(k);
+    at_server[static_cast<std::size_t>(k)].write(value_answer(id, "v"));
+    EXPECT_EQ(clients[static_cast<std::size_t>(k)].line(), "VA 1 O" + id + "\r\n");
+  }
+}
+
+TEST(Router, BeyondTheCapAttemptsArePipelinedAndStillMatched) {
+  Peer server;
+  ConfigText config = one_server(server);
+  config.routers = 60;  // leaves one connection to a server
+  RunningRouter router(config);
+  Link one = router.client(), two = router.client();
+  one.write(get("n1"));
+  Link at_server = server.accept();
+  EXPECT_EQ(id_of(at_server.line()), "n1");
+  two.write(get("n2", "other"));
+  EXPECT_EQ(id_of(at_server.line()), "n2");
+  EXPECT_TRUE(server.nobody_comes(50));
+  at_server.write(value_answer("n1", "1") + value_answer("n2", "2"));
+  EXPECT_EQ(one.line(), "VA 1 On1\r\n");
+  EXPECT_EQ(two.line(), "VA 1 On2\r\n");
+}
+
+TEST(Router, ACancelledAttemptLeavesItsNeighboursOnThePipeline) {
+  Peer server;
+  ConfigText config = one_server(server);
+  config.routers = 60;
+  RunningRouter router(config);
+  Link one = router.client(), two = router.client();
+  one.write(get("o1", "key", "200"));
+  Link at_server = server.accept();
+  at_server.line();
+  two.write(get("o2", "other"));
+  EXPECT_EQ(id_of(at_server.line()), "o2");
+  EXPECT_EQ(one.line().substr(0, 12), "SERVER_ERROR");  // its time is up, the attempt cancelled
+  at_server.write(value_answer("o1", "late") + value_answer("o2", "good"));
+  EXPECT_EQ(two.line(), "VA 4 Oo2\r\n");
+  EXPECT_TRUE(one.silent(50));
+}
+
+// ---- discovery ----
+
+std::string http(const std::string& body, const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close\r\n" +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Takes one call and answers it; its request line.
+std::string answer_call(Peer& discovery, const std::string& response) {
+  Link call = discovery.accept();
+  std::string request = call.line();
+  for (std::string header = call.line(); header.size() > 2;) header = call.line();
+  call.write(response);
+  return request;
+}
+
+TEST(Discovery, TheWatchIsRenewedAndChangesTakeEffect) {
+  Peer discovery, before, after;
+  ConfigText config;
+  config.mode = "automatic";
+  config.discovery = discovery.address();
+  config.hosts = {host_json("s-1", before.address())};
+  RunningRouter router(config);
+  EXPECT_EQ(answer_call(discovery, http(list_json(5, false, {}))).substr(0, 36),
+            "GET /discovery/hosts?index=1&wait=1 ");
+  std::string change =
+      list_json(6, false, {host_json("s-1", before.address(), "leaving"),
+                           host_json("s-2", after.address(), "active")});
+  EXPECT_EQ(answer_call(discovery, http(change)).substr(0, 40),
+            "GET /discovery/hosts?index=5&wait=20000 ");
+  Link watch = discovery.accept();  // the next call has begun, so the change is in force
+  EXPECT_EQ(watch.line().substr(0, 33), "GET /discovery/hosts?index=6&wait");
+  Link client = router.client();
+  client.write(get("p1"));
+  Link at_server = after.accept();
+  EXPECT_EQ(id_of(at_server.line()), "p1");
+  EXPECT_TRUE(before.nobody_comes(0));
+}
+
+TEST(Discovery, WhatIsNoListLeavesTheOldOneInForce) {
+  Peer discovery, server;
+  ConfigText config = one_server(server);
+  config.mode = "automatic";
+  config.discovery = discovery.address();
+  RunningRouter router(config);
+  answer_call(discovery, http("{\"seq\":5,\"whole\":true}"));
+  answer_call(discovery, http("not json"));
+  answer_call(discovery, http("{}", "503 Service Unavailable"));
+  Link again = discovery.accept();
+  Link client = router.client();
+  client.write(get("q1"));
+  Link at_server = server.accept();
+  EXPECT_EQ(id_of(at_server.line()), "q1");
+}
+
+// ---- planned end ----
+
+TEST(Router, ATerminatedRouterTakesNewConnectionsForAWhileAnswersAllAndEnds) {
+  Peer server;
+  RunningRouter router(one_server(server));
+  Link client = router.client(), idle = router.client();
+  idle.write("mn\r\n");
+  EXPECT_EQ(idle.line(), "MN\r\n");
+  client.write(get("r1"));
+  Link at_server = server.accept();
+  at_server.line();
+  router.terminate();
+  Link late = router.client();
+  late.write("mn\r\n");
+  EXPECT_EQ(late.line(), "MN\r\n");
+  EXPECT_TRUE(idle.ends());  // between requests
+  at_server.write(value_answer("r1", "good"));
+  EXPECT_EQ(client.line(), "VA 4 Or1\r\n");
+  EXPECT_EQ(client.line(), "good\r\n");
+  EXPECT_TRUE(client.ends());
+  client.close(), idle.close(), late.close();
+  router.wait_for_end();
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,590 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "support.hpp"
+
+namespace robinseam::test {
+namespace {
+
+std::map<std::string, std::string> homes(const Balancer& b, int keys) {
+  std::map<std::string, std::string> at;
+  for (int k = 0; k < keys; ++k) at["k" + std::to_string(k)] = b.home("k" + std::to_string(k));
+  return at;
+}
+
+// ---- segments ----
+TEST(Segments, LeavingServerMovesOnlyItsOwnKeys) {
+  Balancer b(basic_settings(), 1, 0);
+  auto list = fleet(10);
+  b.on_list(0, ListScope::Full, list);
+  auto before = homes(b, 5000);
+  list[3].health = Health::Draining;
+  b.on_list(1, ListScope::Delta, {list[3]});
+  auto after = homes(b, 5000);
+  int moved = 0;
+  std::map<std::string, int> heirs;
+  for (auto& [key, server] : before) {
+    if (server == after[key]) continue;
+    EXPECT_EQ(server, list[3].id);
+    ++moved;
+    ++heirs[after[key]];
+  }
+  EXPECT_NEAR(moved, 500, 100);
+  EXPECT_EQ(heirs.size(), 9u);  // spread over all the others
+}
+
+TEST(Segments, JoiningServerTakesOnlyItsShare) {
+  Balancer b(basic_settings(), 1, 0);
+  auto list = fleet(10);
+  auto nine = std::vector<Server>(list.begin(), list.end() - 1);
+  b.on_list(0, ListScope::Full, nine);
+  auto before = homes(b, 5000);
+  b.on_list(1, ListScope::Delta, {list.back()});
+  auto after = homes(b, 5000);
+  int moved = 0, elsewhere = 0;
+  for (auto& [key, server] : before) {
+    if (server == after[key]) continue;
+    ++moved;
+    elsewhere += after[key] != list.back().id;
+  }
+  EXPECT_NEAR(moved, 500, 110);
+  EXPECT_LE(elsewhere, 25);  // only where two claims met on one slot
+}
+
+TEST(Segments, SharesFollowWeights) {
+  Balancer b(basic_settings(), 1, 0);
+  auto list = fleet(8);
+  list[0].weight = 3;
+  list[1].weight = 0.5;
+  b.on_list(0, ListScope::Full, list);
+  std::map<std::string, int> keys;
+  for (auto& [key, server] : homes(b, 20000)) ++keys[server];
+  double unit = 20000 / 9.5;
+  EXPECT_NEAR(keys[list[0].id], 3 * unit, 0.1 * 3 * unit);
+  EXPECT_NEAR(keys[list[1].id], 0.5 * unit, 0.15 * 0.5 * unit);
+  EXPECT_NEAR(keys[list[5].id], unit, 0.12 * unit);
+}
+
+TEST(Segments, OrderOfTheListDoesNotMatter) {
+  Balancer a(basic_settings(), 1, 0), b(basic_settings(), 2, 0);
+  auto list = fleet(30, 1.5);
+  a.on_list(0, ListScope::Full, list);
+  std::vector<Server> turned(list.rbegin(), list.rend());
+  b.on_list(0, ListScope::Full, turned);
+  EXPECT_EQ(homes(a, 2000), homes(b, 2000));
+}
+
+TEST(Segments, ManyHeavyServersStillFit) {
+  Balancer b(basic_settings(), 1, 0);
+  b.on_list(0, ListScope::Full, fleet(300, 16));
+  std::set<std::string> used;
+  for (auto& [key, server] : homes(b, 20000)) used.insert(server);
+  EXPECT_EQ(used.size(), 300u);
+}
+
+TEST(Segments, OriginGetsNone) {
+  Balancer b(aside_settings(), 1, 0);
+  auto list = fleet(4);
+  list[2].kind = "ledger";
+  b.on_list(0, ListScope::Full, list);
+  for (auto& [key, server] : homes(b, 1000)) EXPECT_NE(server, list[2].id);
+}
+
+TEST(Segments, CostOfADecisionDoesNotGrowWithTheFleet) {
+  auto draws = [](int servers) {
+    Balancer b(basic_settings(), 1, 0);
+    b.on_list(0, ListScope::Full, fleet(servers));
+    for (RequestId id = 0; id < 500; ++id)
+      serve(b, Micros(id) * 1000, id, "k" + std::to_string(id));
+    return b.stats().draws / 500.0;
+  };
+  EXPECT_LT(draws(200), draws(10) + 1);  // a fuller interval takes fewer draws, not more
+  EXPECT_LT(draws(10), 400);
+}
+
+// ---- saved seeds ----
+TEST(SavedSeeds, RepeatsInAWindowMoveOnAndTheWindowEnds) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(12));
+  std::set<std::string> used;
+  int at_home = 0;
+  for (RequestId id = 0; id < 200; ++id) {
+    std::string server = serve(b, Micros(id) * 10 * kMs, id, "hot");
+    used.insert(server);
+    at_home += server == b.home("hot");
+  }
+  EXPECT_GE(used.size(), 8u);  // the hot key is spread
+  EXPECT_GE(at_home, 5);       // and comes back to its first server each window
+}
+
+TEST(SavedSeeds, RareKeysStayAtHome) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(12));
+  int away = 0;
+  for (RequestId id = 0; id < 3000; ++id) {
+    std::string key = "k" + std::to_string(id % 600);
+    away += serve(b, Micros(id) * 10 * kMs, id, key) != b.home(key);
+  }
+  EXPECT_LT(away, 60);
+}
+
+// Protects against: a server kept hot by several middling keys, none worth spreading for itself.
+TEST(SavedSeeds, KeysOfAHotServerSpreadFurther) {
+  Settings s = basic_settings();
+  s.report_fields = {ReportField::Utilization};
+  Balancer b(s, 7, 0);
+  b.on_list(0, ListScope::Full, fleet(40));
+  std::string home = b.home("k1");
+  Micros now = 0;
+  auto away = [&](double load) {
+    int count = 0;
+    for (RequestId k = 0; k < 2000; ++k, now += 10 * kMs) {
+      RequestId id = static_cast<RequestId>(now);
+      std::string key = k % 50 == 0 ? "k1" : "r" + std::to_string(id);
+      std::string server = sent_to(b.on_request(now, read_of(id, key)));
+      count += k % 50 == 0 && server != home;
+      Outcome o = ended(id, server, Status::Ok);
+      o.report = {server == home ? load : 0.3};
+      b.on_outcome(now, o);
+    }
+    return count;
+  };
+  // 2% of the traffic: over a fair share of 2.5% times kKeyShare, so two servers.
+  int calm = away(0.3);
+  EXPECT_LE(calm, 25);
+  EXPECT_GE(away(0.99), calm + 5);
+}
+
+// Protects against: what a refusal as full took away staying away for good where no load is told.
+TEST(Health, ARefusalAsFullFades) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(6);
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  RequestId id = 0;
+  for (; id < 200; ++id, now += 10 * kMs) {
+    std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+    std::string next = sent_to(
+        b.on_outcome(now, ended(id, server, server == list[0].id ? Status::Full : Status::Ok)));
+    if (!next.empty()) b.on_outcome(now, ended(id, next, Status::Ok, 1));
+  }
+  double part = b.live_fraction(list[0].id);
+  EXPECT_LT(part, 0.8);
+  for (Micros end = now + 60 * kS; now < end; ++id, now += 50 * kMs)
+    serve(b, now, id, "k" + std::to_string(id));
+  EXPECT_GT(b.live_fraction(list[0].id), 0.9);
+}
+
+// Protects against: second and third copies of keys that came twice by chance, whose fetches jammed
+// the origin.
+TEST(SavedSeeds, AChancePairStaysAtHome) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(12));
+  for (RequestId id = 0; id < 2000; ++id) {
+    std::string key = "k" + std::to_string(id / 2);
+    EXPECT_EQ(serve(b, Micros(id) * 10 * kMs, id, key), b.home(key));
+  }
+}
+
+TEST(SavedSeeds, MemoryIsBoundedUnderAScan) {
+  Settings s = basic_settings();
+  s.cross_zone_charge = 0.1;
+  s.zones = {"a", "b"};
+  Balancer b(s, 7, 0);
+  b.on_list(0, ListScope::Full, fleet(12));
+  for (RequestId id = 0; id < 50'000; ++id)
+    serve(b, Micros(id) * 100, id, "once" + std::to_string(id));
+  EXPECT_EQ(b.stats().open_requests, 0u);
+  EXPECT_LE(b.stats().saved_seeds, 100u);
+  EXPECT_LE(b.stats().tracked_keys, 9000u);
+}
+
+// ---- server health ----
+TEST(Health, FewFailedConnectionsTakeAServerOutAndItComesBack) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(6);
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  RequestId id = 0;
+  int failed = 0;
+  std::string bad = list[2].id;
+  for (; id < 300; ++id, now += 10 * kMs) {
+    std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+    if (server != bad) {
+      b.on_outcome(now, ended(id, server, Status::Ok));
+      continue;
+    }
+    ++failed;
+    std::string next = sent_to(b.on_outcome(now, ended(id, server, Status::ConnectFailed)));
+    ASSERT_NE(next, "");
+    EXPECT_NE(next, bad);
+    b.on_outcome(now, ended(id, next, Status::Ok, 1));
+  }
+  EXPECT_LE(failed, 8);
+  EXPECT_GE(failed, 2);
+  // It answers again: back to its whole share within seconds.
+  for (; id < 4000; ++id, now += 10 * kMs) serve(b, now, id, "k" + std::to_string(id));
+  EXPECT_EQ(b.live_fraction(bad), 1);
+}
+
+// Protects against: errors of an overloaded origin taking one healthy server after another out,
+// whose keys then miss elsewhere and ask the origin more.
+TEST(Health, ErrorsEverywhereCondemnNobody) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(6);
+  b.on_list(0, ListScope::Full, list);
+  for (RequestId id = 0; id < 600; ++id)
+    serve(b, Micros(id) * 10 * kMs, id, "k" + std::to_string(id),
+          id % 2 ? Status::Error : Status::Ok);
+  int live = 0;
+  for (const Server& s : list) live += b.live_fraction(s.id) > 0.5;
+  EXPECT_GE(live, 5);
+}
+
+TEST(Health, NoCollapseWhenNearlyEveryServerLooksDead) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  Micros now = 0;
+  RequestId id = 0;
+  for (; id < 200; ++id, now += 10 * kMs)
+    exhaust(b, now, id, "k" + std::to_string(id), Status::ConnectFailed);
+  // They answer again: within eight seconds nearly everything is served.
+  int served = 0;
+  for (RequestId end = id + 1000; id < end; ++id, now += 10 * kMs)
+    served += !serve(b, now, id, "k" + std::to_string(id)).empty() && id >= end - 200;
+  EXPECT_GE(served, 190);
+}
+
+TEST(Health, SlowServerGivesUpPartOfItsKeys) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(6);
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  for (RequestId id = 0; id < 1500; ++id, now += 10 * kMs) {
+    std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+    ASSERT_NE(server, "");
+    b.on_outcome(now,
+                 ended(id, server, Status::Ok, 0, server == list[1].id ? 120 * kMs : 20 * kMs));
+  }
+  EXPECT_LT(b.live_fraction(list[1].id), 0.7);
+  EXPECT_GT(b.live_fraction(list[1].id), 0.0);
+  EXPECT_GT(b.live_fraction(list[2].id), 0.9);
+}
+
+// Protects against: warm servers that shed load pushing it on to a cold one, which then fell over.
+TEST(Health, ColdServerIsHeldToItsShare) {
+  Settings s = basic_settings();
+  s.report_fields = {ReportField::Utilization};
+  Balancer b(s, 7, 0);
+  auto list = fleet(8);
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  RequestId id = 0;
+  auto step = [&](int& cold_sends) {
+    std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+    if (server.empty()) return;
+    cold_sends += server == list[0].id;
+    Outcome o = ended(id, server, Status::Ok);
+    o.report = {0.99};  // every warm server is hot
+    if (server == list[0].id) o.report = {0.1};
+    b.on_outcome(now, o);
+  };
+  int ignored = 0;
+  for (; id < 1000; ++id, now += 10 * kMs) step(ignored);
+  list[0].up_since = now;
+  b.on_list(now, ListScope::Delta, {list[0]});
+  int cold_sends = 0;
+  for (int k = 0; k < 150; ++k, ++id, now += 10 * kMs) step(cold_sends);
+  // Fair share of 150 requests over 8 servers is 19; at 0.3 to 0.43 of its capacity, 7.
+  EXPECT_LE(cold_sends, 12);
+  EXPECT_GE(cold_sends, 1);
+}
+
+// ---- admission ----
+// Protects against: a shed level that never fell because at a high level too few answers came to
+// judge by.
+TEST(Admission, RefusesUnderOverloadAndRecovers) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  Micros now = 0;
+  RequestId id = 0;
+  int refused = 0;
+  for (; id < 600; ++id, now += 10 * kMs) {
+    refused += exhaust(b, now, id, "k" + std::to_string(id), Status::Full) == 0;
+  }
+  EXPECT_GT(refused, 100);
+  int late_refused = 0;
+  for (RequestId k = 0; k < 1500; ++k, ++id, now += 10 * kMs) {
+    bool no = serve(b, now, id, "k" + std::to_string(id)).empty();
+    if (k >= 1200) late_refused += no;
+  }
+  EXPECT_LE(late_refused, 9);
+}
+
+// Protects against: hits refused along with misses while only the origin is jammed.
+TEST(Admission, KeysAnsweredLatelyPassWhileOthersFail) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  Micros now = 0;
+  int held_in = 0, other_in = 0;
+  for (RequestId id = 0; id < 1600; ++id, now += 10 * kMs) {
+    bool held = id % 2 == 0;
+    std::string key = held ? "held" + std::to_string(id % 40) : "other" + std::to_string(id);
+    std::string server = serve(b, now, id, key, held ? Status::Ok : Status::Error);
+    if (id >= 800) (held ? held_in : other_in) += !server.empty();
+  }
+  EXPECT_EQ(held_in, 400);
+  EXPECT_LE(other_in, 120);
+  EXPECT_GE(other_in, 4);  // some are let in to learn when the origin is back
+}
+
+// ---- attempts ----
+TEST(Attempts, EmptyListRefusesAtOnce) {
+  Balancer b(basic_settings(), 7, 0);
+  Actions a = b.on_request(0, read_of(1, "k"));
+  EXPECT_EQ(all<Refuse>(a).size(), 1u);
+  EXPECT_TRUE(all<Send>(a).empty());
+}
+
+TEST(Attempts, DeadlineTimerAnswersBeforeTheClientQuits) {
+  Settings s = basic_settings();
+  s.classes[0].late_worth = 0.3;
+  Balancer b(s, 7, 0);
+  b.on_list(0, ListScope::Full, fleet(3));
+  Actions a = b.on_request(0, read_of(1, "k", 100 * kMs));
+  Micros last = 0;
+  std::uint64_t token = 0;
+  for (const Timer& t : all<Timer>(a))
+    if (t.after > last) last = t.after, token = t.token;
+  EXPECT_LT(last, 100 * kMs);
+  EXPECT_GT(last, 80 * kMs);
+  Actions end = b.on_timer(last, token);
+  EXPECT_EQ(all<Refuse>(end).size(), 1u);
+  EXPECT_EQ(all<Cancel>(end).size(), 1u);
+  EXPECT_TRUE(b.on_timer(last, token).empty());
+}
+
+Settings with_effect(Effect effect, Group group) {
+  Settings s = basic_settings();
+  s.classes[0].effect = effect;
+  s.classes[0].group = group;
+  s.classes[0].key_ttl = 5 * kS;
+  return s;
+}
+
+TEST(Attempts, OnceIsNotRepeatedOnceItMayHaveRun) {
+  Balancer b(with_effect(Effect::Once, Group::All), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(3));
+  std::string server = sent_to(b.on_request(0, read_of(1, "k")));
+  Actions a = b.on_outcome(1000, ended(1, server, Status::Reset));
+  EXPECT_TRUE(all<Send>(a).empty());
+  EXPECT_TRUE(all<Refuse>(a).empty());
+  EXPECT_EQ(all<Fail>(a).size(), 1u);
+}
+
+// Protects against: every failed fetch asked for once more at another server, which kept an origin
+// jammed that would have recovered.
+TEST(Attempts, ErrorsAreRetriedOnlyWhereOneServerStandsOut) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(6);
+  b.on_list(0, ListScope::Full, list);
+  Micros now = 0;
+  RequestId id = 0;
+  int retried = 0, errors = 0;
+  auto run = [&](auto fails) {
+    retried = errors = 0;
+    for (int k = 0; k < 400; ++k, ++id, now += 10 * kMs) {
+      std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+      if (server.empty()) continue;
+      bool error = fails(server, k);
+      errors += error;
+      Actions a = b.on_outcome(now, ended(id, server, error ? Status::Error : Status::Ok));
+      if (std::string next = sent_to(a); !next.empty())
+        ++retried, b.on_outcome(now, ended(id, next, Status::Ok, 1));
+    }
+  };
+  run([&](const std::string&, int k) { return k % 12 == 0; });
+  EXPECT_GE(errors, 30);
+  EXPECT_LE(retried, 2);
+  run([&](const std::string&, int) { return false; });
+  run([&](const std::string& server, int) { return server == list[1].id; });
+  EXPECT_GE(retried, 2);
+}
+
+TEST(Attempts, OnceGoesOnAfterAProvenNonRun) {
+  Balancer b(with_effect(Effect::Once, Group::All), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(3));
+  std::string server = sent_to(b.on_request(0, read_of(1, "k")));
+  std::string next = sent_to(b.on_outcome(1000, ended(1, server, Status::Full)));
+  EXPECT_NE(next, "");
+  EXPECT_NE(next, server);
+}
+
+TEST(Attempts, KeyedByZoneStaysInTheZone) {
+  auto list = fleet(6);
+  for (int k = 3; k < 6; ++k) list[k].zone = "b";
+  std::map<std::string, std::string> zone_of;
+  for (const Server& s : list) zone_of[s.id] = s.zone;
+  for (RequestId id = 1; id < 40; ++id) {
+    Balancer b(with_effect(Effect::Keyed, Group::Zone), id, 0);
+    b.on_list(0, ListScope::Full, list);
+    std::string server = sent_to(b.on_request(0, read_of(id, "k" + std::to_string(id))));
+    Actions a = b.on_outcome(1000, ended(id, server, Status::Reset));
+    ASSERT_EQ(all<Send>(a).size(), 1u);
+    EXPECT_EQ(zone_of[sent_to(a)], zone_of[server]);
+    a = b.on_timer(480 * kMs, id << 2);  // nothing may be refused: it may have run
+    EXPECT_TRUE(all<Refuse>(a).empty());
+  }
+}
+
+TEST(Attempts, KeyedByCellWithoutCellsIsNotRepeated) {
+  Balancer b(with_effect(Effect::Keyed, Group::Cell), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  std::string server = sent_to(b.on_request(0, read_of(1, "k")));
+  Actions a = b.on_outcome(1000, ended(1, server, Status::Reset));
+  EXPECT_TRUE(all<Send>(a).empty());
+  EXPECT_EQ(all<Fail>(a).size(), 1u);
+}
+
+TEST(Attempts, KeyedIsNotRepeatedPastItsTimeToLive) {
+  Settings s = with_effect(Effect::Keyed, Group::All);
+  s.classes[0].key_ttl = 100 * kMs;
+  Balancer b(s, 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  std::string server = sent_to(b.on_request(0, read_of(1, "k", 900 * kMs)));
+  Actions a = b.on_outcome(200 * kMs, ended(1, server, Status::Timeout));
+  EXPECT_TRUE(all<Send>(a).empty());
+  EXPECT_EQ(all<Refuse>(a).size(), 1u);
+}
+
+TEST(Attempts, RetriesStayUnderABudget) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(10));
+  int first = 0, more = 0;
+  Micros now = 0;
+  for (RequestId id = 0; id < 1000; ++id, now += 5 * kMs) {
+    int attempts = exhaust(b, now, id, "k" + std::to_string(id), Status::Timeout);
+    first += attempts > 0;
+    more += std::max(0, attempts - 1);
+  }
+  EXPECT_GT(first, 50);
+  EXPECT_LE(more, 120);
+}
+
+// Protects against: retries of what was refused as full taking the places of first tries.
+TEST(Attempts, NoRetriesWhileRequestsAreRefused) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  Micros now = 0;
+  int refused = 0, retried = 0;
+  for (RequestId id = 0; id < 800; ++id, now += 10 * kMs) {
+    int attempts = exhaust(b, now, id, "k" + std::to_string(id), Status::Full);
+    if (id < 300) continue;
+    refused += attempts == 0;
+    retried += attempts > 1;
+  }
+  EXPECT_GT(refused, 100);
+  EXPECT_EQ(retried, 0);
+}
+
+TEST(Attempts, StrangeCallsAreIgnored) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(3));
+  EXPECT_TRUE(b.on_outcome(0, ended(9, "10.0.0.1:80", Status::Ok)).empty());
+  EXPECT_TRUE(b.on_gone(0, 9).empty());
+  EXPECT_TRUE(b.on_timer(0, 12345).empty());
+  EXPECT_TRUE(b.on_probe(0, "nobody", Status::Ok, 0, {1}).empty());
+  std::string server = sent_to(b.on_request(0, read_of(1, "k")));
+  EXPECT_TRUE(b.on_request(0, read_of(1, "k")).empty());
+  EXPECT_TRUE(b.on_outcome(0, ended(1, server, Status::Ok, 7)).empty());
+  EXPECT_TRUE(b.on_outcome(0, ended(1, server, Status::Ok, -1)).empty());
+}
+
+TEST(Attempts, AsideMissesAndWritesGoToTheOrigin) {
+  Balancer b(aside_settings(), 7, 0);
+  auto list = fleet(5);
+  list[4].kind = "ledger";
+  b.on_list(0, ListScope::Full, list);
+  std::string cache = sent_to(b.on_request(0, read_of(1, "k")));
+  EXPECT_NE(cache, list[4].id);
+  EXPECT_EQ(sent_to(b.on_outcome(1, ended(1, cache, Status::Miss))), list[4].id);
+  Request write = read_of(2, "k");
+  write.write = true;
+  EXPECT_EQ(sent_to(b.on_request(2, write)), list[4].id);
+}
+
+// ---- list ----
+TEST(List, NothingNewGoesToADrainingGoneOrUnlistedServer) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(4);
+  b.on_list(0, ListScope::Full, list);
+  list[0].health = Health::Draining;
+  list[1].health = Health::Gone;
+  b.on_list(1, ListScope::Delta, {list[0], list[1]});
+  b.on_list(2, ListScope::Failed, {});
+  for (RequestId id = 0; id < 300; ++id) {
+    std::string server = serve(b, 3 + Micros(id) * kMs, id, "k" + std::to_string(id));
+    EXPECT_TRUE(server == list[2].id || server == list[3].id) << server;
+  }
+  b.on_list(kS, ListScope::Full, {list[3]});
+  for (RequestId id = 300; id < 400; ++id)
+    EXPECT_EQ(serve(b, kS + Micros(id) * kMs, id, "k" + std::to_string(id)), list[3].id);
+}
+
+TEST(List, RoutersDoNotAskTogetherAndAskAgainAfterFailure) {
+  Settings s = basic_settings();
+  s.must_ask = true;
+  std::set<Micros> starts;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    Balancer b(s, seed, 0);
+    auto timers = all<Timer>(b.start(0));
+    ASSERT_EQ(timers.size(), 1u);
+    EXPECT_LT(timers[0].after, s.ask_within / 2);
+    starts.insert(timers[0].after / (100 * kMs));
+  }
+  EXPECT_GE(starts.size(), 10u);
+
+  Balancer b(s, 3, 0);
+  Timer t = all<Timer>(b.start(0))[0];
+  Micros now = 0;
+  for (int k = 0; k < 10; ++k) {
+    now += t.after;
+    Actions a = b.on_timer(now, t.token);
+    EXPECT_EQ(all<Watch>(a).size(), 1u);
+    auto again = all<Timer>(b.on_list(now, ListScope::Failed, {}));
+    ASSERT_EQ(again.size(), 1u);
+    t = again[0];
+    EXPECT_LE(t.after, s.ask_within);
+  }
+  now += t.after;
+  Actions a = b.on_timer(now, t.token);
+  b.on_list(now, ListScope::Full, fleet(3));
+  EXPECT_TRUE(b.on_timer(now + s.ask_within, all<Timer>(a)[0].token).empty());  // watching: silent
+}
+
+// ---- settings ----
+TEST(SettingsCheck, UnusableOnesAreNamed) {
+  auto message = [](auto change) -> std::string {
+    Settings s = basic_settings();
+    change(s);
+    try {
+      Balancer b(s, 1, 0);
+    } catch (const std::invalid_argument& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_NE(message([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.cold_time = -1; }).find("cold_time"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.cold_share = 1.5; }).find("cold_share"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.classes[0].worth = 0.0 / 0.0; }).find("worth"),
+            std::string::npos);
+  EXPECT_EQ(message([](Settings& s) { s.zone = "elsewhere"; }), "");
+}
+
+}  // namespace
+}  // namespace robinseam::test
