--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -42,12 +42,14 @@
   Group group = Group::All;  ///< for Keyed
   Micros key_ttl = 0;        ///< for Keyed: from the send of the first attempt that may have run
   bool streamed = false;     ///< answers start with an on_first
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
   std::string name;
   double portion = 0;      ///< its portion of the service, 0 to 1
   double quota_per_s = 0;  ///< requests a second over all routers; 0 = no quota
+  bool operator==(const TenantSettings&) const = default;
 };
 
 /// What one value of a server's load report means.
@@ -97,6 +99,7 @@
   Micros cold_time = 0;          ///< and is warm no later than this
   double overload_factor = 3;    ///< sent more than this multiple of its capacity
   Micros tip_after = 1'500'000;  ///< for this long, a cold server falls over
+  bool operator==(const Settings&) const = default;
 };
 
 enum class Health { Ready, Draining, Gone };
--- a/src/drill/settings.hpp
+++ b/src/drill/settings.hpp
@@ -16,10 +16,11 @@
 
 /// What only a router on sockets needs.
 struct LinkSettings {
-  int streams = 1;                    ///< attempts that one connection carries at once
-  Micros keepalive = 15'000'000;      ///< a server closes a connection idle for this long
-  Micros dial_timeout = 75'000;       ///< a connection not up by then never comes up
-  std::int64_t max_open = 100'000;    ///< open requests
+  int streams = 1;                  ///< attempts that one connection carries at once
+  Micros keepalive = 15'000'000;    ///< a server closes a connection idle for this long
+  Micros dial_timeout = 75'000;     ///< a connection not up by then never comes up
+  std::int64_t max_open = 100'000;  ///< open requests
+  bool operator==(const LinkSettings&) const = default;
 };
 LinkSettings link_settings_of(const SettingPairs& by_path);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,11 +11,21 @@
   return 1;
 }
 
+/// SIGHUP. A file that can't be used, half-written or gone, leaves everything as it is.
+void reload(arrowfork::Router& router) {
+  try {
+    router.reload(arrowfork::reload_config());
+  } catch (const std::exception& e) {
+    complain(std::string("reload: old configuration kept: ") + e.what());
+  }
+}
+
 }  // namespace
 
 int main() {
   using namespace arrowfork;
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
     Config config = load_config();
     if (!parse_address(config.discovery))
@@ -33,11 +43,14 @@
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
     event_add(term.get(), nullptr);
     event_add(interrupt.get(), nullptr);
+    auto on_reload = [](evutil_socket_t, short, void* r) { reload(*static_cast<Router*>(r)); };
+    EventPtr hangup(evsignal_new(base.get(), SIGHUP, on_reload, &router));
+    event_add(hangup.get(), nullptr);
     std::fprintf(stderr, "arrowfork: %s listens on %s\n", config.name.c_str(),
                  config.listen.c_str());
     router.run();
     return 0;
-  } catch (const ConfigError& e) {
+  } catch (const std::exception& e) {
     return complain(e.what());
   }
 }
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -11,17 +11,30 @@
 
 constexpr std::size_t kScratch = 64u << 10;
 // Unanswered commands of one connection; beyond, it is not read.
-constexpr std::size_t kPipelineMax = 64;
-// Answer bytes that may wait for a slow reader before a stream is held, and from which it goes on.
-constexpr std::size_t kOutHigh = 128u << 10, kOutLow = 32u << 10;
-// A command must come within this of its first byte; PROTOCOL gives clients 2 s.
-constexpr Micros kCommandTime = 10 * kSecond;
+constexpr std::size_t kPipelineMax = 32;
+// Bytes of one connection's commands and answers, and of answers that wait for a slow reader;
+// beyond, it is not read. Any one command and its answer fit.
+constexpr std::size_t kHeldMost = 2 * (kMaxValue + kMaxLine);
+// Output buffers larger than this are given back when empty.
+constexpr std::size_t kOutLow = 32u << 10;
+// A command must come within this of its first byte, and a connection's first one within this of
+// the connect: DAYS owes bad clients an error or a close within 3 s, the sweep's step included.
+constexpr Micros kCommandTime = 2 * kSecond;
+// Nothing is lost with a connection on which nothing was asked for this long, and clients that keep
+// theirs for good would fill the table with them. DAYS allows it from 2 s on; clients' own pools
+// are used again well within this, and closing those would cost them connects and crossings.
+constexpr Micros kIdleTime = 10 * kSecond;
+// When the table is full, a connection that has said nothing for this long after its connect goes
+// first: clients connect to ask.
+constexpr Micros kSilentTime = kSecond / 10;
 // A client that takes none of its answer for this long is given up.
-constexpr Micros kStallTime = 10 * kSecond;
-// After our FIN the connection is read until the client's, at most this long: closing with unread
-// bytes would send a reset, which may destroy the last answer on its way.
-constexpr Micros kLingerTime = kSecond;
-constexpr Micros kSweep = kSecond / 4;
+constexpr Micros kStallTime = 2 * kSecond;
+// After our FIN the connection is read until the client's, at most this long and this many bytes:
+// closing with unread bytes would send a reset, which may destroy the last answer on its way.
+constexpr Micros kLingerTime = kSecond / 2;
+constexpr std::size_t kLingerBytes = 1u << 20;
+// Also how long new connections wait at most once one of those in the table may make way.
+constexpr Micros kSweep = kSecond / 10;
 
 }  // namespace
 
@@ -33,7 +46,7 @@
     write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
     event_add(read_.get(), nullptr);
   }
-  ~ClientConnection() { side_.upload_bytes_ -= upload_; }
+  ~ClientConnection() { hold_less(held_bytes_); }
 
   static void on_event(evutil_socket_t, short what, void* self) {
     auto* c = static_cast<ClientConnection*>(self);
@@ -53,13 +66,15 @@
       return;
     }
     if (lingering_) {
-      if (got == 0) side_.close(*this);
+      lingered_ += static_cast<std::size_t>(got);
+      if (got == 0 || lingered_ > kLingerBytes) side_.close(*this);
       return;
     }
     if (got == 0) {
       end_of_input();
       return;
     }
+    asked_ = true;
     if (!in_command()) since_ = side_.clock_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
     if (held_.empty()) {
@@ -72,38 +87,35 @@
     update_reading();
   }
 
-  /// Handles the commands in `in` and consumes them, until the pipeline is full or an upload has to
-  /// wait.
+  /// Handles the commands in `in` and consumes them, until a budget is used up.
   void parse(std::string_view& in) {
-    while (!broken_ && !closed_ && slots_.size() < kPipelineMax && (!in.empty()) &&
-           out_.size() < kOutHigh) {
-      if (!admit_upload()) return;
+    while (!broken_ && !closed_ && !in.empty() && may_take()) {
       Command command;
       auto got = reader_.take(in, command);
-      if (reader_.value_missing() == 0) release_upload();
+      if (got == CommandReader::Got::Nothing) break;
+      since_ = side_.clock_.now();  // the next one begins
+      ClientSlot& slot = add_slot();
       switch (got) {
-        case CommandReader::Got::Nothing:
-          if (!admit_upload()) return;
-          break;
-        case CommandReader::Got::Command: {
-          ClientSlot& slot = add_slot();
+        case CommandReader::Got::Command:
+          slot.bytes = command.before_d.size() + command.after_d.size() +
+                       (command.value ? command.value->size() : 0);
+          hold_more(slot.bytes);
           if (over_limit_)
             side_.answer(slot, "SERVER_ERROR busy\r\n");
           else
             side_.handler_.on_command(slot, std::move(command));
           break;
-        }
         case CommandReader::Got::Noop:
-          side_.answer(add_slot(), "MN\r\n");
+          side_.answer(slot, "MN\r\n");
           break;
         case CommandReader::Got::Unknown:
-          side_.answer(add_slot(), "ERROR\r\n");
+          side_.answer(slot, "ERROR\r\n");
           break;
         case CommandReader::Got::Bad:
-          side_.answer(add_slot(), "CLIENT_ERROR bad command\r\n");
+          side_.answer(slot, "CLIENT_ERROR bad command\r\n");
           break;
-        case CommandReader::Got::Broken:
-          side_.answer(add_slot(), "CLIENT_ERROR bad framing\r\n");
+        default:
+          side_.answer(slot, "CLIENT_ERROR bad framing\r\n");
           broken_ = true;
           break;
       }
@@ -111,37 +123,34 @@
     if (broken_) in = {};
   }
 
+  /// Back-pressure: what a client has under way is bounded, for itself and for all together. One
+  /// with nothing under way is always read, so that none waits for others for good.
+  bool may_take() const {
+    if (slots_.empty() && out_.empty()) return true;
+    return slots_.size() < kPipelineMax && held_bytes_ < kHeldMost &&
+           side_.held_bytes_ < side_.limits_.held_bytes;
+  }
+
+  void hold_more(std::size_t bytes) {
+    held_bytes_ += bytes;
+    side_.held_bytes_ += bytes;
+  }
+  void hold_less(std::size_t bytes) {
+    held_bytes_ -= bytes;
+    side_.held_bytes_ -= bytes;
+  }
+
   void parse_held() {
     std::string_view in = held_;
     parse(in);
     held_.erase(0, held_.size() - in.size());
   }
 
-  /// Back-pressure for large values being written: all of one must fit in what is left of the
-  /// budget for all before its bytes are read.
-  bool admit_upload() {
-    std::size_t missing = reader_.value_missing();
-    if (upload_ > 0 || missing <= kLargeValue) return true;
-    if (side_.upload_bytes_ + missing > side_.limits_.upload_bytes) {
-      upload_waits_ = true;
-      return false;
-    }
-    upload_waits_ = false;
-    upload_ = missing;
-    side_.upload_bytes_ += missing;
-    return true;
-  }
-  void release_upload() {
-    side_.upload_bytes_ -= upload_;
-    upload_ = 0;
-  }
-
   /// A half-close looks like a close. What was taken is still answered: a client that is really
   /// gone only makes the write fail.
   void end_of_input() {
     eof_ = true;
     held_.clear();
-    release_upload();
     event_del(read_.get());
     if (slots_.empty() && out_.empty()) {
       side_.close(*this);
@@ -159,16 +168,8 @@
 
   /// Moves finished answers into the output, in order.
   void advance() {
-    while (!slots_.empty()) {
-      ClientSlot& slot = slots_.front();
-      if (!slot.text.empty()) {
-        if (out_.empty())
-          out_ = std::move(slot.text);
-        else
-          out_ += slot.text;
-        slot.text.clear();
-      }
-      if (!slot.done) return;
+    while (!slots_.empty() && slots_.front().done) {
+      out_ += slots_.front().text;
       slots_.pop_front();
     }
   }
@@ -188,6 +189,8 @@
         break;
       }
       out_at_ += static_cast<std::size_t>(put);
+      hold_less(static_cast<std::size_t>(put));
+      since_ = side_.clock_.now();
       stalled_since_ = 0;
     }
     if (out_at_ == out_.size()) {
@@ -203,8 +206,6 @@
       finish();
       return;
     }
-    if (!slots_.empty() && slots_.front().streaming && out_.size() - out_at_ < kOutLow)
-      side_.handler_.on_room(slots_.front().id);
     if (!held_.empty() && !closed_) parse_held();
     update_reading();
   }
@@ -224,21 +225,22 @@
 
   void update_reading() {
     if (closed_ || eof_ || lingering_) return;
-    bool want = held_.empty() && !broken_ && slots_.size() < kPipelineMax &&
-                out_.size() - out_at_ < kOutHigh;
+    bool want = held_.empty() && !broken_ && may_take();
     if (want == reading_) return;
     reading_ = want;
     want ? event_add(read_.get(), nullptr) : event_del(read_.get());
   }
 
   void sweep(Micros now) {
-    if (upload_waits_ && !held_.empty()) {
-      parse_held();
-      update_reading();
-    }
-    bool late = lingering_ ? now - since_ > kLingerTime
-                           : in_command() && slots_.empty() && now - since_ > kCommandTime;
-    if (late || (stalled_since_ && now - stalled_since_ > kStallTime)) side_.close(*this);
+    if (!held_.empty()) parse_held();  // others may have made room in the common budget
+    update_reading();
+    Micros most = lingering_         ? kLingerTime
+                  : idle() && asked_ ? kIdleTime
+                  : slots_.empty()   ? kCommandTime
+                                     : Micros{0};
+    if ((most > 0 && out_.empty() && now - since_ > most) ||
+        (stalled_since_ && now - stalled_since_ > kStallTime))
+      side_.close(*this);
   }
 
   ClientSide& side_;
@@ -249,8 +251,9 @@
   std::string held_;  // bytes read that must wait to be parsed
   std::string out_;
   std::size_t out_at_ = 0;
-  std::size_t upload_ = 0;  // of the budget for large values
-  bool upload_waits_ = false;
+  std::size_t held_bytes_ = 0;  // of its slots and `out_`, in the common budget too
+  std::size_t lingered_ = 0;
+  bool asked_ = false;  // something has come on it
   bool reading_ = true;
   bool eof_ = false;
   bool broken_ = false;  // framing lost: closes after the answers due
@@ -258,7 +261,8 @@
   bool lingering_ = false;
   bool dirty_ = false;
   bool closed_ = false;
-  Micros since_;  // last command's first byte, or start of the linger
+  Micros
+      since_;  // connect, first byte of a command, or end of the last answer; start of the linger
   Micros stalled_since_ = 0;
   std::size_t index_ = 0;  // in ClientSide::connections_
 };
@@ -308,8 +312,9 @@
 
 void ClientSide::accept_some(int most) {
   while (most-- > 0) {
-    if (connections_.size() >= limits_.connections && !close_longest_idle() &&
-        connections_.size() >= limits_.connections + limits_.spare_connections) {
+    while (connections_.size() >= limits_.connections && make_room()) {
+    }
+    if (connections_.size() >= limits_.connections + limits_.spare_connections) {
       accept_paused_ = true;  // level-triggered: without this the loop would spin
       event_del(accept_event_.get());
       return;
@@ -317,7 +322,7 @@
     Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno != EAGAIN && errno != EWOULDBLOCK && !close_longest_idle()) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK && !make_room()) {
         accept_paused_ = true;  // out of descriptors or memory: the sweep tries again
         event_del(accept_event_.get());
       }
@@ -331,12 +336,19 @@
   }
 }
 
-bool ClientSide::close_longest_idle() {
-  ClientConnection* longest = nullptr;
-  for (auto& c : connections_)
-    if (c->idle() && !c->lingering_ && (!longest || c->since_ < longest->since_)) longest = c.get();
-  if (!longest) return false;
-  close(*longest);
+/// First the one that has been silent longest since its connect, if it had time to ask; then one
+/// that had its answers, idle the longest. One that has just come keeps its chance to ask.
+bool ClientSide::make_room() {
+  ClientConnection *silent = nullptr, *idle = nullptr;
+  for (auto& c : connections_) {
+    if (!c->idle() || c->lingering_) continue;
+    ClientConnection*& best = c->asked_ ? idle : silent;
+    if (!best || c->since_ < best->since_) best = c.get();
+  }
+  if (silent && clock_.now() - silent->since_ < kSilentTime) silent = nullptr;
+  ClientConnection* least = silent ? silent : idle;
+  if (!least) return false;
+  close(*least);
   return true;
 }
 
@@ -375,35 +387,13 @@
 }
 
 void ClientSide::answer(ClientSlot& slot, std::string text) {
-  slot.text += text;
-  slot.done = true;
-  touch(*slot.connection);
-}
-
-void ClientSide::stream_begin(ClientSlot& slot, std::string line) {
-  slot.text = std::move(line);
-  slot.streaming = true;
-  touch(*slot.connection);
-}
-
-void ClientSide::stream_data(ClientSlot& slot, std::string_view data) {
-  slot.text += data;
-  touch(*slot.connection);
-}
-
-void ClientSide::stream_end(ClientSlot& slot) { answer(slot, "\r\n"); }
-
-void ClientSide::cut(ClientSlot& slot) {
   ClientConnection& c = *slot.connection;
-  slot.done = true;  // final: no on_gone for it
-  close(c);
-}
-
-bool ClientSide::has_room(const ClientSlot& slot) const {
-  const ClientConnection& c = *slot.connection;
-  std::size_t waiting = slot.text.size();
-  if (&c.slots_.front() == &slot) waiting += c.out_.size() - c.out_at_;
-  return waiting < kOutHigh;
+  c.hold_less(slot.bytes);
+  slot.bytes = text.size();
+  c.hold_more(slot.bytes);
+  slot.text = std::move(text);
+  slot.done = true;
+  touch(c);
 }
 
 void ClientSide::flush() {
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -21,9 +21,9 @@
 struct ClientSlot {
   ClientConnection* connection = nullptr;
   RequestId id = 0;
-  std::string text;        ///< answer bytes that wait for those before them
-  bool done = false;       ///< the whole answer is in `text` or written
-  bool streaming = false;  ///< a large value is under way
+  std::string text;       ///< answer bytes that wait for those before them
+  std::size_t bytes = 0;  ///< of the command, then of the answer, as counted in the budgets
+  bool done = false;      ///< the whole answer is in `text`
 };
 
 class ClientSide {
@@ -38,18 +38,17 @@
     virtual void on_left(RequestId id) = 0;
     /// The connection is closed and the slot with it.
     virtual void on_gone(RequestId id) = 0;
-    /// A streamed value may go on.
-    virtual void on_room(RequestId id) = 0;
   };
   struct Limits {
-    std::size_t connections = 600;         ///< beyond, commands are refused as busy
-    std::size_t spare_connections = 50;    ///< so many beyond are accepted for that
-    std::size_t upload_bytes = 32u << 20;  ///< of large values being written by clients
+    std::size_t connections = 600;       ///< beyond, commands are refused as busy
+    std::size_t spare_connections = 50;  ///< so many beyond are accepted for that
+    std::size_t held_bytes = 32u << 20;  ///< of commands and answers, all clients together
   };
 
   ClientSide(event_base* base, const Clock& clock, Handler& handler, Limits limits);
   ~ClientSide();
 
+  void set_limits(const Limits& limits) { limits_ = limits; }
   /// Listens on `address`; false with the reason in `error`.
   bool listen(const sockaddr_in& address, std::string& error);
   /// The port that listen() got; for tests that ask for port 0.
@@ -57,15 +56,6 @@
 
   /// Gives the whole final answer.
   void answer(ClientSlot& slot, std::string text);
-  /// A large value: its line, its parts, its end. `cut` ends the connection, so that the client can
-  /// tell that the value is not whole.
-  void stream_begin(ClientSlot& slot, std::string line);
-  void stream_data(ClientSlot& slot, std::string_view data);
-  void stream_end(ClientSlot& slot);
-  void cut(ClientSlot& slot);
-  /// False when the client is slower than the value comes; on_room follows.
-  bool has_room(const ClientSlot& slot) const;
-
   /// Writes what answer() and the others have left. Call once an iteration of the loop.
   void flush();
   /// True when there is something to flush.
@@ -80,7 +70,8 @@
   static void on_accept(evutil_socket_t, short, void* self);
   static void on_sweep(evutil_socket_t, short, void* self);
   void accept_some(int most);
-  bool close_longest_idle();
+  /// Closes the connection that is missed least; false where all are in use.
+  bool make_room();
   void sweep();
   void touch(ClientConnection& connection);
   void close(ClientConnection& connection);
@@ -96,7 +87,7 @@
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_;
-  std::size_t upload_bytes_ = 0;
+  std::size_t held_bytes_ = 0;
   std::unique_ptr<char[]> scratch_;
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -7,13 +7,20 @@
 #include <cstring>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace arrowfork {
 namespace {
 
 using Json = nlohmann::json;
 
+constexpr int kMaxDepth = 32;
+constexpr std::size_t kMaxFile = 4u << 20;
+// A server's id, place and kind are names and its weight a machine's size next to the others';
+// what is far beyond that would only waste memory or upset sums.
+constexpr std::size_t kMaxName = 250;
+constexpr double kMaxWeight = 1000;
+constexpr std::size_t kMaxHosts = 10'000;
+
 std::string scalar_text(const Json& value) {
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
@@ -36,11 +43,21 @@
   }
 }
 
+/// Nesting is bounded: what walks the tree does so by recursion.
+Json parse_json(const std::string& text) {
+  return Json::parse(text, [](int depth, Json::parse_event_t, Json&) {
+    if (depth > kMaxDepth) throw ConfigError("JSON nested too deep");
+    return true;
+  });
+}
+
 Host host_of(const Json& entry) {
   if (!entry.is_object()) throw ConfigError("hosts: an entry is no object");
   auto text = [&](const char* name) {
     auto it = entry.find(name);
-    return it != entry.end() && it->is_string() ? it->get<std::string>() : std::string();
+    std::string value = it != entry.end() && it->is_string() ? it->get<std::string>() : "";
+    if (value.size() > kMaxName) throw ConfigError(std::string("hosts: ") + name + ": too long");
+    return value;
   };
   auto figure = [&](const char* name, double absent) {
     auto it = entry.find(name);
@@ -61,7 +78,7 @@
     h.server.health = robinseam::Health::Gone;
   else
     throw ConfigError("hosts: health '" + health + "'");
-  h.server.weight = figure("share", 1);
+  h.server.weight = std::clamp(figure("share", 1), 0.0, kMaxWeight);
   // Unix time, and the router's clock has its origin there.
   h.server.up_since =
       static_cast<robinseam::Micros>(std::clamp(figure("born_ms", 0), 0.0, 1e15)) * 1000;
@@ -78,8 +95,11 @@
     throw ConfigError("a host list without seq");
   if (whole == json.end() || !whole->is_boolean()) throw ConfigError("a host list without whole");
   if (hosts == json.end() || !hosts->is_array()) throw ConfigError("a host list without hosts");
+  if (hosts->size() > kMaxHosts) throw ConfigError("a host list without end");
   HostList list;
   list.version = scalar_text(*seq);
+  if (list.version.empty() || list.version.size() > kMaxName)
+    throw ConfigError("a host list without seq");
   list.whole = whole->get<bool>();
   for (const Json& entry : *hosts) list.hosts.push_back(host_of(entry));
   return list;
@@ -155,7 +175,7 @@
 
 HostList parse_host_list(const std::string& json) {
   try {
-    return host_list_of(Json::parse(json));
+    return host_list_of(parse_json(json));
   } catch (const Json::exception& e) {
     throw ConfigError(e.what());
   }
@@ -163,21 +183,28 @@
 
 Config parse_config(const std::string& json) {
   try {
-    return config_of(Json::parse(json));
+    return config_of(parse_json(json));
   } catch (const Json::exception& e) {
     throw ConfigError(std::string("NODE_CONFIG: ") + e.what());
   }
 }
 
-Config load_config() {
+Config reload_config() {
   const char* path = std::getenv("NODE_CONFIG");
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream file(path, std::ios::binary);
-  std::stringstream text;
-  if (!file || !(text << file.rdbuf()))
+  std::string text(kMaxFile + 1, '\0');
+  if (file) file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (!file && !file.eof())
     throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
                       std::strerror(errno));
-  Config c = parse_config(text.str());
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > kMaxFile) throw ConfigError(std::string("NODE_CONFIG: too long: ") + path);
+  return parse_config(text);
+}
+
+Config load_config() {
+  Config c = reload_config();
   auto override_with = [](const char* variable, std::string& value) {
     const char* set = std::getenv(variable);
     if (set && *set) value = set;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -42,6 +42,9 @@
 /// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
 /// Throws ConfigError.
 Config load_config();
+/// Reads the file again for a reload. What the file says comes before the environment, which still
+/// has the values of the start. Throws ConfigError.
+Config reload_config();
 /// The same from the file's text alone.
 Config parse_config(const std::string& json);
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -17,8 +17,13 @@
 // it can't do within seconds, so silence means that it can't be reached.
 constexpr Micros kCallTime = 4 * kSecond;
 constexpr Micros kInsistPause = kSecond;
-constexpr ev_ssize_t kMaxBody = 8 << 20;
-constexpr ev_ssize_t kMaxHeaders = 64 << 10;
+// A new address may come up a little after the configuration that names it, and must be in use
+// within 4 s of it: it is tried this often, this many times, before it counts as failed.
+constexpr Micros kMovePause = kSecond / 4;
+constexpr int kMoveTries = 16;
+// A list of hundreds of servers is some 60 KiB; as JSON in memory it takes several times its text.
+constexpr ev_ssize_t kMaxBody = 512 << 10;
+constexpr ev_ssize_t kMaxHeaders = 16 << 10;
 
 std::string escaped(const std::string& text) {
   char* encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
@@ -55,8 +60,9 @@
   }
   evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
+  // For the whole call: evhttp's own time-outs begin again with every byte that trickles in.
   timeval limit_tv = timeval_of(limit);
-  evhttp_connection_set_timeout_tv(connection_.get(), &limit_tv);
+  event_add(ready_.get(), &limit_tv);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", authority_.c_str());
   evhttp_add_header(headers, "Connection", "close");
@@ -90,24 +96,57 @@
 
 Discovery::Discovery(event_base* base, const std::string& address, const std::string& version,
                      bool insist, Handler& handler)
-    : handler_(handler),
+    : base_(base),
+      handler_(handler),
       insist_(insist),
       version_(version),
-      watch_(base, address, [this](std::optional<HostList> list) { take(std::move(list)); }),
-      fetch_(base, address, [this](std::optional<HostList> list) {
-        if (!list || !list->whole) {
-          handler_.on_hosts_failed();
-          return;
-        }
-        // A list made before changes that the watch has brought since is older than what is held.
-        if (fetch_overlapped_) return;
-        version_ = list->version;
-        handler_.on_hosts(std::move(*list));
-      }) {
+      watch_(watch_at(address)),
+      fetch_(fetch_at(address)) {
   again_.reset(event_new(base, -1, 0, on_again, this));
   if (insist_) watch();
 }
 
+Discovery::Call Discovery::watch_at(const std::string& address) {
+  return std::make_unique<DiscoveryCall>(
+      base_, address, [this](std::optional<HostList> list) { take(std::move(list)); });
+}
+
+Discovery::Call Discovery::fetch_at(const std::string& address) {
+  return std::make_unique<DiscoveryCall>(base_, address, [this](std::optional<HostList> list) {
+    if (!list || !list->whole) {
+      handler_.on_hosts_failed();
+      return;
+    }
+    // A list made before changes that the watch has brought since is older than what is held.
+    if (fetch_overlapped_) return;
+    version_ = list->version;
+    handler_.on_hosts(std::move(*list));
+  });
+}
+
+/// The new service need not count versions as the old one did, so it is asked for its whole list.
+/// Calls that are out at the old address are not renewed: it takes no new ones.
+void Discovery::move_to(const std::string& address) {
+  if (!version_.empty() || !old_watch_) {  // else it never answered, and the one before still may
+    old_watch_ = std::move(watch_);
+    old_watch_->hand_over([this](std::optional<HostList> list) { take_old(std::move(list)); });
+  }
+  watch_ = watch_at(address);
+  fetch_ = fetch_at(address);
+  version_.clear();
+  moving_ = kMoveTries;
+  event_del(again_.get());
+  call();
+}
+
+/// The last word of the old address. The list that the new one is making may be older than a change
+/// told here: it is asked anew.
+void Discovery::take_old(std::optional<HostList> list) {
+  if (!list || (!list->whole && list->hosts.empty())) return;
+  if (version_.empty()) call();
+  handler_.on_hosts(std::move(*list));
+}
+
 void Discovery::watch() {
   renewing_ = false;
   call();
@@ -115,35 +154,41 @@
 
 void Discovery::fetch() {
   fetch_overlapped_ = false;
-  fetch_.start(kPath, kCallTime);
+  fetch_->start(kPath, kCallTime);
 }
 
 void Discovery::stop() {
-  watch_.stop();
-  fetch_.stop();
+  watch_->stop();
+  fetch_->stop();
+  old_watch_.reset();
   event_del(again_.get());
 }
 
 void Discovery::call() {
   if (version_.empty()) {
-    watch_.start(kPath, kCallTime);
+    watch_->start(kPath, kCallTime);
     return;
   }
   int wait = renewing_ ? kWaitMs : kFirstWaitMs;
-  watch_.start(std::string(kPath) + "?index=" + escaped(version_) + "&wait=" + std::to_string(wait),
-               wait * kMillisecond + kCallTime);
+  watch_->start(
+      std::string(kPath) + "?index=" + escaped(version_) + "&wait=" + std::to_string(wait),
+      wait * kMillisecond + kCallTime);
 }
 
 void Discovery::take(std::optional<HostList> list) {
   if (!list) {
-    if (insist_) {
-      timeval pause = timeval_of(kInsistPause);
-      event_add(again_.get(), &pause);
+    if (moving_ > 0) {
+      --moving_;
+      again_in(kMovePause);
+    } else if (insist_) {
+      again_in(kInsistPause);
     } else {
       handler_.on_hosts_failed();
     }
     return;
   }
+  moving_ = 0;
+  old_watch_.reset();
   version_ = list->version;
   if (list->whole || !list->hosts.empty()) fetch_overlapped_ = true;
   // The next call at once: a watch with gaps is a new one.
@@ -152,6 +197,11 @@
   handler_.on_hosts(std::move(*list));
 }
 
+void Discovery::again_in(Micros pause) {
+  timeval wait = timeval_of(pause);
+  event_add(again_.get(), &wait);
+}
+
 void Discovery::on_again(evutil_socket_t, short, void* self) {
   static_cast<Discovery*>(self)->watch();
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -20,9 +20,13 @@
   using Done = std::function<void(std::optional<HostList>)>;
   DiscoveryCall(event_base* base, const std::string& address, Done done);
   ~DiscoveryCall();
+  DiscoveryCall(const DiscoveryCall&) = delete;
+  DiscoveryCall& operator=(const DiscoveryCall&) = delete;
   /// Starts a call; one that is under way is dropped.
   void start(const std::string& path, Micros limit);
   void stop();
+  /// From here on `done` gets what a call under way brings.
+  void hand_over(Done done) { done_ = std::move(done); }
 
  private:
   static void on_answer(evhttp_request* request, void* self);
@@ -53,6 +57,9 @@
   /// sites where lists are pushed.
   Discovery(event_base* base, const std::string& address, const std::string& version, bool insist,
             Handler& handler);
+  /// Goes over to another address without a gap: the watch that is out at the old one stays until
+  /// the new one has given its whole list, and what it still brings counts.
+  void move_to(const std::string& address);
   /// Begins a watch, anew where one is under way.
   void watch();
   /// Asks for the whole list once.
@@ -60,16 +67,24 @@
   void stop();
 
  private:
+  using Call = std::unique_ptr<DiscoveryCall>;
+  Call watch_at(const std::string& address);
+  Call fetch_at(const std::string& address);
   void call();
   void take(std::optional<HostList> list);
+  void take_old(std::optional<HostList> list);
+  void again_in(Micros pause);
   static void on_again(evutil_socket_t, short, void* self);
 
+  event_base* base_;
   Handler& handler_;
   bool insist_;
   std::string version_;
   bool renewing_ = false;
   bool fetch_overlapped_ = false;
-  DiscoveryCall watch_, fetch_;
+  Call watch_, fetch_;
+  Call old_watch_;  // at the address that was left, until the new one has answered
+  int moving_ = 0;  // calls that may still fail at a new address before the module is told
   EventPtr again_;
 };
 
--- a/src/net/memcache.cpp
+++ b/src/net/memcache.cpp
@@ -10,6 +10,10 @@
 namespace arrowfork {
 namespace {
 
+// Set aside for a value before its bytes have come: the usual ones fit, and lengths that are only
+// said cost no memory.
+constexpr std::size_t kFirstReserve = 4096;
+
 template <typename T>
 std::optional<T> number(std::string_view text) {
   T value{};
@@ -18,17 +22,18 @@
   return value;
 }
 
-/// The next word of `rest`, which it is taken from; empty at the end.
+/// The next word of `rest`, which it is taken from with the space behind it; empty where two spaces
+/// stand together, and at the end.
 std::string_view next_word(std::string_view& rest) {
-  while (!rest.empty() && rest.front() == ' ') rest.remove_prefix(1);
   std::string_view word = rest.substr(0, rest.find(' '));
-  rest.remove_prefix(word.size());
+  rest.remove_prefix(std::min(rest.size(), word.size() + 1));
   return word;
 }
 
 /// Moves bytes up to and with the next '\n' from `in` behind `partial`. Gives the line without its
 /// end when it is whole; it lives in `in`'s memory or in `partial`, which the caller clears then.
-/// Sets `too_long` when no line end came within kMaxLine bytes.
+/// The '\r' before it stays, and with it what tells a line of the protocol from others. Sets
+/// `too_long` when no line end came within kMaxLine bytes.
 std::optional<std::string_view> take_text_line(std::string_view& in, std::string& partial,
                                                bool& too_long) {
   std::size_t end = in.find('\n');
@@ -43,7 +48,6 @@
   if (end == std::string_view::npos) return std::nullopt;
   if (!partial.empty()) line = partial;
   line.remove_suffix(1);
-  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
   return line;
 }
 
@@ -59,8 +63,23 @@
   return value.size() >= 2 && value[value.size() - 2] == '\r' && value.back() == '\n';
 }
 
-bool plain(std::string_view text) {
-  return std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 33 || c == 127; });
+/// Takes the '\r' off the end of a line; false where there is none, or where anything else but
+/// printable ASCII stands in it.
+bool printable(std::string_view& line) {
+  if (line.empty() || line.back() != '\r') return false;
+  line.remove_suffix(1);
+  return std::all_of(line.begin(), line.end(), [](unsigned char c) { return c >= 32 && c < 127; });
+}
+
+bool well_sized(std::string_view text, std::size_t most) {
+  return !text.empty() && text.size() <= most;
+}
+
+/// A figure that a client gives: finite, not negative, and small enough for any unit it is put in.
+std::optional<double> amount(std::string_view text) {
+  auto value = number<double>(text);
+  if (!value || !(*value >= 0 && *value <= 1e12)) return std::nullopt;
+  return value;
 }
 
 }  // namespace
@@ -70,71 +89,97 @@
   char* end = std::to_chars(digits, digits + sizeof digits, wait).ptr;
   std::string text;
   text.reserve(before_d.size() + after_d.size() + static_cast<std::size_t>(end - digits) + 2 +
-               (value && value->size() <= kLargeValue ? value->size() : 0));
+               (value ? value->size() : 0));
   text.append(before_d).append(digits, end).append(after_d).append("\r\n");
   return text;
 }
 
-CommandReader::Got CommandReader::take_line(std::string_view line, Command& command) {
+/// Reads what stands behind the verb, a read's or a write's: exactly what PROTOCOL gives clients to
+/// send, since it goes on as it is over a connection that others share, and a cache server closes
+/// on what it can't read.
+bool CommandReader::parse_line(std::string_view line, Command& command) {
   std::string_view rest = line;
-  std::string_view verb = next_word(rest);
-  if (verb == "mn") return Got::Noop;
-  if (verb != "mg" && verb != "ms") return Got::Unknown;
-  command = Command();
-  command.set = verb == "ms";
-  std::string_view key = next_word(rest);
-  bool good = !key.empty() && key.size() <= kMaxKey && plain(key);
-  if (command.set) {
-    auto length = number<std::size_t>(next_word(rest));
-    // Without its length nobody can tell where the value ends.
-    if (!length || *length > kMaxValue) return Got::Broken;
-    value_need_ = *length + 2;
-    state_ = State::Skip;  // until the line proves good
-  }
-  Got bad = command.set ? Got::Nothing : Got::Bad;  // a bad set is told once its value is skipped
+  next_word(rest);
+  command.key = next_word(rest);
+  if (!well_sized(command.key, kMaxKey)) return false;
+  if (command.set) next_word(rest);  // the length
   std::string_view pairs;
-  while (true) {
+  bool value_wanted = false;
+  while (!rest.empty()) {
     std::string_view flag = next_word(rest);
-    if (flag.empty()) break;
-    if (flag[0] == 'O') command.id = flag.substr(1);
-    if (flag[0] == 'P') pairs = flag.substr(1);
+    if (flag == "v" && !command.set && !value_wanted)
+      value_wanted = true;
+    else if (flag.starts_with('O') && command.id.empty())
+      command.id = flag.substr(1);
+    else if (flag.starts_with('P') && pairs.empty())
+      pairs = flag.substr(1);
+    else
+      return false;
   }
-  if (!good || command.id.empty() || pairs.empty() || !plain(line.substr(line.size() - 1)))
-    return bad;
-  std::string_view at_d = pairs.substr(pairs.size());
-  bool has_d = false;
+  if (line.ends_with(' ') || value_wanted == command.set || !well_sized(command.id, kMaxId) ||
+      pairs.empty())
+    return false;
+  std::string_view at_d;
   for (std::string_view left = pairs; !left.empty();) {
     std::string_view pair = left.substr(0, left.find(','));
     left.remove_prefix(std::min(left.size(), pair.size() + 1));
     std::size_t eq = pair.find('=');
-    if (eq == pair.npos) continue;
+    if (eq == pair.npos || eq == 0 || eq + 1 == pair.size()) return false;
     std::string_view name = pair.substr(0, eq), value = pair.substr(eq + 1);
-    if (name == "c") command.type = value;
-    if (name == "t") command.tenant = value;
-    if (name == "r") command.repeat = value == "1";
-    if (name == "h") {
-      auto work = number<double>(value);
-      if (work && std::isfinite(*work) && *work >= 0 && *work < 1e15)
-        command.work = static_cast<std::int64_t>(*work);
-    }
-    if (name == "d") {
-      auto wait = number<double>(value);
-      if (!wait || !std::isfinite(*wait) || *wait < 0 || *wait > 1e9) return bad;
+    if (name == "c") {
+      if (!command.type.empty()) return false;
+      command.type = value;
+    } else if (name == "t") {
+      if (!command.tenant.empty()) return false;
+      command.tenant = value;
+    } else if (name == "k") {
+      if (command.keyed || !well_sized(value, kMaxId)) return false;
+      command.keyed = true;
+    } else if (name == "r") {
+      if (value != "1" && value != "0") return false;
+      command.repeat = value == "1";
+    } else if (name == "h") {
+      auto work = amount(value);
+      if (!work || command.work) return false;
+      command.work = static_cast<std::int64_t>(*work);
+    } else if (name == "size") {
+      if (!amount(value)) return false;
+    } else if (name == "d") {
+      auto wait = amount(value);
+      if (!wait || !at_d.empty()) return false;
       command.wait_ms = *wait;
       at_d = value;
-      has_d = true;
     }
   }
-  if (command.type.empty()) return bad;
-  command.key = key;
+  if (command.type.empty() || at_d.empty()) return false;
   std::size_t cut = static_cast<std::size_t>(at_d.data() - line.data());
   command.before_d = line.substr(0, cut);
-  if (!has_d) command.before_d += ",d=";
   command.after_d = line.substr(cut + at_d.size());
-  if (!command.set) return Got::Command;
+  return true;
+}
+
+CommandReader::Got CommandReader::take_line(std::string_view line, Command& command) {
+  bool good = printable(line);
+  std::string_view rest = line;
+  std::string_view verb = next_word(rest);
+  if (verb == "mn" && good) return Got::Noop;
+  if (verb != "mg" && verb != "ms") return Got::Unknown;
+  command = Command();
+  command.set = verb == "ms";
+  if (!command.set) return good && parse_line(line, command) ? Got::Command : Got::Bad;
+  next_word(rest);
+  auto length = number<std::size_t>(next_word(rest));
+  // Without its length nobody can tell where the value ends; one that is too long is not waited
+  // for.
+  if (!length || *length > kMaxValue) return Got::Broken;
+  value_need_ = *length + 2;
+  if (!good || !parse_line(line, command)) {
+    state_ = State::Skip;  // told once its value is past
+    return Got::Nothing;
+  }
   state_ = State::Value;
   value_ = std::make_shared<std::string>();
-  value_->reserve(std::min<std::size_t>(value_need_, kLargeValue));
+  value_->reserve(std::min(value_need_, kFirstReserve));
   pending_ = std::move(command);
   return Got::Nothing;
 }
@@ -169,6 +214,21 @@
   }
 }
 
+namespace {
+
+/// More than this of a load report's field is no load.
+double most_of(robinseam::ReportField field) {
+  switch (field) {
+    case robinseam::ReportField::Utilization:
+    case robinseam::ReportField::HitShare:
+      return 2;  // shares, a little noisy
+    default:
+      return 1e6;
+  }
+}
+
+}  // namespace
+
 void AnswerReader::parse_report(std::string_view text, Answer& answer) const {
   answer.report.assign(fields_->size(), std::numeric_limits<double>::quiet_NaN());
   while (!text.empty()) {
@@ -178,18 +238,36 @@
     if (eq == pair.npos) continue;
     auto field = robinseam::drill::report_field_of(pair.substr(0, eq));
     auto value = number<double>(pair.substr(eq + 1));
-    if (!field || !value || !std::isfinite(*value)) continue;  // unreadable: skipped
+    // Unreadable: skipped. Every field is a load, a time or a share: none is negative, and none is
+    // so large that it could upset a mean.
+    if (!field || !value || !(*value >= 0 && *value <= most_of(*field))) continue;
     auto at = std::find(fields_->begin(), fields_->end(), *field);
     if (at != fields_->end())
       answer.report[static_cast<std::size_t>(at - fields_->begin())] = *value;
   }
 }
 
+/// A line that is not of the protocol's form is no answer, whatever it begins with: nothing in it
+/// is to be believed. Only a load report, which stands last, may be unreadable in an answer that is
+/// good.
 bool AnswerReader::parse_line(std::string_view line, Answer& answer) const {
   answer = Answer();
+  // Apart from the line: what can't be read may hold any byte.
+  std::string_view report;
+  if (std::size_t at = line.find(" L"); at != line.npos) {
+    report = line.substr(at + 2);
+    if (!report.ends_with('\r')) return false;
+    report.remove_suffix(1);
+    line = line.substr(0, at);
+  } else if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  } else {
+    return false;
+  }
+  if (!std::all_of(line.begin(), line.end(), [](unsigned char c) { return c >= 32 && c < 127; }))
+    return false;
   std::string_view rest = line;
   std::string_view verb = next_word(rest);
-  bool flags = true;
   if (verb == "VA") {
     answer.kind = Answer::Kind::Value;
     auto length = number<std::size_t>(next_word(rest));
@@ -201,24 +279,24 @@
     answer.kind = Answer::Kind::Miss;
   } else if (verb == "SERVER_ERROR") {
     answer.kind = next_word(rest) == "busy" ? Answer::Kind::Busy : Answer::Kind::Error;
-  } else if (verb == "CLIENT_ERROR" || verb == "ERROR") {
-    answer.last = true;
-    flags = false;
   } else if (verb == "NS" || verb == "EX" || verb == "NF") {
     answer.kind = Answer::Kind::Error;
   } else {
-    return false;
+    answer.last = verb == "CLIENT_ERROR" || verb == "ERROR";
+    return answer.last;
   }
   bool fetching = false;
-  while (flags) {
+  while (!rest.empty()) {
     std::string_view flag = next_word(rest);
-    if (flag.empty()) break;
+    if (flag.empty()) continue;
     std::string_view value = flag.substr(1);
     switch (flag[0]) {
       case 'O':
+        if (!answer.id.empty() || !well_sized(value, kMaxId)) return false;
         answer.id = value;
         break;
       case 'c':
+        if (!answer.receipt.empty() || !well_sized(value, kMaxId)) return false;
         answer.receipt = value;
         break;
       case 'h':
@@ -227,72 +305,41 @@
       case 'Z':
         fetching = true;
         break;
-      case 'L':
-        parse_report(value, answer);
-        break;
       default:
         break;
     }
   }
+  bool served = answer.kind == Answer::Kind::Value || answer.kind == Answer::Kind::Stored;
+  if (served && answer.id.empty()) return false;
+  if (answer.kind == Answer::Kind::Stored && answer.receipt.empty()) return false;
   if (fetching && answer.note == 2) answer.note = 3;
+  if (!report.empty()) parse_report(report, answer);
   return true;
 }
 
-AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer,
-                                     std::string_view& chunk) {
+AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer) {
   while (true) {
-    switch (state_) {
-      case State::Line: {
-        if (in.empty()) return Got::Nothing;
-        bool too_long = false;
-        auto line = take_text_line(in, partial_, too_long);
-        if (too_long) return Got::Broken;
-        if (!line) return Got::Nothing;
-        bool good = parse_line(*line, answer);
-        partial_.clear();
-        if (!good) return Got::Broken;
-        if (answer.kind != Answer::Kind::Value) return Got::Answer;
-        if (answer.length > kLargeValue) {
-          need_ = answer.length;
-          state_ = State::Large;
-          return Got::Head;
-        }
-        need_ = answer.length + 2;
-        if (in.size() >= need_) {  // the usual case: all of it is here
-          if (in[need_ - 2] != '\r' || in[need_ - 1] != '\n') return Got::Broken;
-          answer.value = in.substr(0, need_);
-          in.remove_prefix(need_);
-          return Got::Answer;
-        }
-        pending_ = std::move(answer);
-        pending_.value.reserve(need_);
-        state_ = State::Value;
-        break;
-      }
-      case State::Value:
-        take_bytes(in, pending_.value, need_);
-        if (need_ > 0) return Got::Nothing;
-        state_ = State::Line;
-        if (!ends_line(pending_.value)) return Got::Broken;
-        answer = std::move(pending_);
-        return Got::Answer;
-      case State::Large: {
-        if (in.empty()) return Got::Nothing;
-        chunk = in.substr(0, need_);
-        in.remove_prefix(chunk.size());
-        need_ -= chunk.size();
-        if (need_ == 0) need_ = 2, state_ = State::LargeEnd;
-        return Got::Chunk;
-      }
-      case State::LargeEnd:
-        if (in.empty()) return Got::Nothing;
-        take_bytes(in, partial_, need_);
-        if (need_ > 0) return Got::Nothing;
-        state_ = State::Line;
-        bool whole = ends_line(partial_);
-        partial_.clear();
-        return whole ? Got::End : Got::Broken;
+    if (state_ == State::Line) {
+      if (in.empty()) return Got::Nothing;
+      bool too_long = false;
+      auto line = take_text_line(in, partial_, too_long);
+      if (too_long) return Got::Broken;
+      if (!line) return Got::Nothing;
+      bool good = parse_line(*line, answer);
+      partial_.clear();
+      if (!good) return Got::Broken;
+      if (answer.kind != Answer::Kind::Value) return Got::Answer;
+      need_ = answer.length + 2;
+      pending_ = std::move(answer);
+      pending_.value.reserve(std::min(need_, std::max(in.size(), kFirstReserve)));
+      state_ = State::Value;
     }
+    take_bytes(in, pending_.value, need_);
+    if (need_ > 0) return Got::Nothing;
+    state_ = State::Line;
+    if (!ends_line(pending_.value)) return Got::Broken;
+    answer = std::move(pending_);
+    return Got::Answer;
   }
 }
 
--- a/src/net/memcache.hpp
+++ b/src/net/memcache.hpp
@@ -13,16 +13,17 @@
 
 namespace arrowfork {
 
-constexpr std::size_t kMaxLine = 4096;          ///< bytes of one line, its end included
-constexpr std::size_t kMaxKey = 250;            ///< as memcached has it
-constexpr std::size_t kMaxValue = 4u << 20;     ///< bytes of one value
-constexpr std::size_t kLargeValue = 64u << 10;  ///< a longer one is streamed to the client
+constexpr std::size_t kMaxLine = 4096;        ///< bytes of one line, its end included
+constexpr std::size_t kMaxKey = 250;          ///< as memcached has it
+constexpr std::size_t kMaxId = 64;            ///< ids, receipts and keys of writes have 16
+constexpr std::size_t kMaxValue = 64u << 10;  ///< bytes of one value
 
 /// One `mg` or `ms`. The line is kept as the client wrote it, cut open where `d` stands.
 struct Command {
   bool set = false;
   std::string before_d, after_d;  ///< the line without its end, on both sides of the figure of `d`
   std::string id, key, type, tenant;
+  bool keyed = false;   ///< it has an idempotency key, `k`
   double wait_ms = -1;  ///< `d`; negative where the client gave none
   std::optional<std::int64_t> work;
   bool repeat = false;
@@ -46,11 +47,10 @@
   Got take(std::string_view& in, Command& command);
   /// True while the bytes of a command have come in part.
   bool in_command() const { return !partial_.empty() || state_ != State::Line; }
-  /// Bytes that are still to come of a set's value, 0 elsewhere.
-  std::size_t value_missing() const { return state_ == State::Value ? value_need_ : 0; }
 
  private:
   enum class State { Line, Value, Skip };
+  static bool parse_line(std::string_view line, Command& command);
   Got take_line(std::string_view line, Command& command);
 
   State state_ = State::Line;
@@ -67,7 +67,7 @@
   std::string id;       ///< of `O`; may be empty where the line has none
   std::string receipt;  ///< of `HD`
   std::size_t length = 0;
-  std::string value;           ///< of a `VA` that is not large
+  std::string value;           ///< of `VA`, with its line end
   int note = 0;                ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
   std::vector<double> report;  ///< in the order of the settings' fields; NaN where not told
   bool last = false;           ///< after such a line the connection's framing is not to be trusted
@@ -80,17 +80,14 @@
   enum class Got {
     Nothing,  ///< all of `in` is consumed, nothing is whole
     Answer,   ///< `answer` is whole, its value too
-    Head,     ///< the line of a large value; Chunks and an End follow
-    Chunk,    ///< `chunk` is a part of the large value
-    End,      ///< the large value is whole
     Broken,   ///< no answer of the protocol; the connection is of no more use
   };
-  Got take(std::string_view& in, Answer& answer, std::string_view& chunk);
+  Got take(std::string_view& in, Answer& answer);
   /// True while an answer has come in part.
   bool in_answer() const { return !partial_.empty() || state_ != State::Line; }
 
  private:
-  enum class State { Line, Value, Large, LargeEnd };
+  enum class State { Line, Value };
   bool parse_line(std::string_view line, Answer& answer) const;
   void parse_report(std::string_view text, Answer& answer) const;
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -12,13 +12,12 @@
 
 // What servers are presumed to hold at least; all routers together stay within it.
 constexpr std::size_t kServerHolds = 60;
-// Not fewer: while large values pass to slow readers their connections are taken for long, and what
-// is pipelined behind one waits for all of it (head-of-line blocking).
 constexpr std::size_t kMostPerServer = 16;
 // Descriptors for the listener, the event base, discovery and the log.
 constexpr std::size_t kReservedSockets = 24;
 constexpr std::size_t kSpareClients = 50;
-constexpr std::size_t kOpenMost = 20'000;  // bounds the memory of the table of open requests
+// Memory that an open request may come to: its line three times over and what the module keeps.
+constexpr std::size_t kOpenBytes = 16u << 10;
 // After SIGTERM the front still sends new connections for up to 0.4 s, and what comes later than
 // 0.7 s is ours to lose no more: in between the router stops listening.
 constexpr Micros kStopListening = kSecond / 2;
@@ -27,6 +26,9 @@
 // A request that the module has left open this long after its time gets its answer all the same.
 constexpr Micros kLastAnswer = 15 * kMillisecond;
 
+// Ids kept of one span to tell copies; bounds their memory. Some 300 a second come, at most 1,200.
+constexpr std::size_t kIdsMost = 8192;
+
 constexpr Micros kLogEvery = 5 * kSecond;
 
 const char* const kFailed = "SERVER_ERROR failed\r\n";
@@ -37,7 +39,7 @@
   ClientSide::Limits l;
   l.spare_connections = std::min(kSpareClients, c.sockets / 16);
   l.connections = c.sockets - kReservedSockets - server_sockets(c) - l.spare_connections;
-  l.upload_bytes = std::max<std::size_t>(c.memory_bytes / 4, kMaxValue + 2);
+  l.held_bytes = c.memory_bytes / 4;
   return l;
 }
 
@@ -79,7 +81,9 @@
     : base_(base),
       config_(config),
       balancer_(make_balancer(config, clock_.now())),
-      max_open_(std::min<std::size_t>(kOpenMost, static_cast<std::size_t>(config.links.max_open))),
+      id_span_(longest_deadline(config)),
+      max_open_(std::min<std::size_t>(config.memory_bytes / kOpenBytes,
+                                      static_cast<std::size_t>(config.links.max_open))),
       clients_(base, clock_, *this, client_limits(config)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       discovery_(base, config.discovery, config.known.version, !config.settings.must_ask, *this) {
@@ -116,6 +120,23 @@
   }
 }
 
+void Router::reload(const Config& next) {
+  if (!parse_address(next.discovery))
+    throw ConfigError("discovery: no address: '" + next.discovery + "'");
+  if (next.settings != config_.settings || next.links != config_.links ||
+      next.listen != config_.listen)
+    std::fprintf(stderr, "arrowfork: reload: settings and listen are taken at the next start\n");
+  config_.sockets = next.sockets;
+  config_.memory_bytes = next.memory_bytes;
+  clients_.set_limits(client_limits(config_));
+  servers_.set_limits(server_limits(config_));
+  if (next.discovery != config_.discovery) {
+    config_.discovery = next.discovery;
+    discovery_.move_to(next.discovery);
+  }
+  std::fprintf(stderr, "arrowfork: reloaded: discovery %s\n", config_.discovery.c_str());
+}
+
 void Router::stop() {
   if (stopping_since_) return;
   stopping_since_ = clock_.now();
@@ -146,37 +167,73 @@
       "arrowfork: requests %lu open %zu refused %lu failed %lu gone %lu clients %zu | ok %lu "
       "error %lu full %lu timeout %lu unreached %lu reset %lu cancelled %lu unsent %lu | "
       "connections %zu dials %lu failed %lu none %lu pipelined %lu ended idle %lu busy %lu "
-      "garbage %lu closed idle %lu given up %lu late answers %lu large %lu\n",
+      "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu servers %zu\n",
       c.requests, r->open_.size(), c.refused, c.failed, c.gone, r->clients_.connections(),
       c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4], c.outcomes[5],
       c.outcomes[6], c.outcomes[7], r->servers_.connections(), s.dials, s.failed_dials,
       s.no_connection, s.pipelined, s.ended_idle, s.ended_busy, s.garbage, s.closed_idle, s.gave_up,
-      s.late_answers, s.large_values);
+      s.late_answers, s.made_room, r->servers_.servers());
 }
 
 // ---- clients ----
 
+/// What a client's bytes are taken for is decided in memcache.hpp; here what only the settings and
+/// the open requests can tell. Nothing that fails either is passed on: a cache server may close the
+/// connection for it, and others wait on that.
 void Router::on_command(ClientSlot& slot, Command&& command) {
-  if (open_.size() >= max_open_) {  // before the module has seen it
+  const robinseam::ClassSettings* type = class_of(command.type);
+  bool keyed = type && type->effect == robinseam::Effect::Keyed;
+  if (!type || (keyed && !(command.set && command.keyed))) {
+    clients_.answer(slot, "CLIENT_ERROR bad class\r\n");
+    return;
+  }
+  if (id_taken(command.id)) {
+    clients_.answer(slot, "CLIENT_ERROR id in use\r\n");
+    return;
+  }
+  if (open_.size() >= max_open_ || ids_[0].size() >= kIdsMost) {  // before the module has seen it
     clients_.answer(slot, "SERVER_ERROR busy\r\n");
     return;
   }
   ++counts_.requests;
+  note_id(command.id);
   RequestId id = next_id_++;
   slot.id = id;
   Open& open = open_[id];
   open.slot = &slot;
-  Micros wait = static_cast<Micros>(command.wait_ms * 1000);
-  if (command.wait_ms < 0) {
-    wait = config_.settings.classes.front().deadline;
-    for (const auto& c : config_.settings.classes)
-      if (c.name == command.type) wait = c.deadline;
-  }
-  open.deadline = clock_.now() + wait;
+  // No client waits longer than its class allows; a longer time would only keep what is kept for
+  // it.
+  double longest = static_cast<double>(type->deadline);
+  open.deadline =
+      clock_.now() + static_cast<Micros>(std::min(command.wait_ms * kMillisecond, longest));
+  // Nor is any work longer than the patience for it: such a hint would upset the module's means.
+  if (command.work) command.work = std::min(*command.work, type->deadline);
   open.command = std::move(command);
   events_.push_back(RequestEvent{id});
 }
 
+/// An id that is out twice could be answered with the other's value, and cache servers take the
+/// second one for a copy of the first. Those of requests that have just ended count as well: a copy
+/// sent while the first was open may be read after it.
+bool Router::id_taken(const std::string& id) const {
+  return ids_[0].count(id) > 0 || ids_[1].count(id) > 0;
+}
+
+void Router::note_id(const std::string& id) {
+  Micros now = clock_.now();
+  if (now - ids_since_ > id_span_) {
+    ids_[1] = std::exchange(ids_[0], {});
+    ids_since_ = now;
+  }
+  ids_[0].insert(id);
+}
+
+const robinseam::ClassSettings* Router::class_of(const std::string& name) const {
+  for (const auto& c : config_.settings.classes)
+    if (c.name == name) return &c;
+  return nullptr;
+}
+
 /// A client that sends no more may still read. The module is told that it has left, so that nothing
 /// new is sent for it, but what is out is waited for and its answer given.
 void Router::on_left(RequestId id) {
@@ -192,14 +249,8 @@
   Open& open = it->second;
   ++counts_.gone;
   open.slot = nullptr;
-  if (open.streaming) servers_.resume(open.source, id);  // the rest is read and dropped
   open.answered = true;
-  if (!open.left) events_.push_back(GoneEvent{id});
-}
-
-void Router::on_room(RequestId id) {
-  auto it = open_.find(id);
-  if (it != open_.end() && it->second.streaming) servers_.resume(it->second.source, id);
+  events_.push_back(GoneEvent{id});  // also where it has left before: settle() forgets it then
 }
 
 // ---- cache servers ----
@@ -217,9 +268,7 @@
       text = "VA " + std::to_string(answer.length) + " O" + open.command.id + "\r\n";
       text += answer.value;
     } else {
-      text = "HD O" + open.command.id;
-      if (!answer.receipt.empty()) text += " c" + answer.receipt;
-      text += "\r\n";
+      text = "HD O" + open.command.id + " c" + answer.receipt + "\r\n";
     }
     give_answer(open, std::move(text));
   }
@@ -231,45 +280,6 @@
   forget_if_done(id);
 }
 
-bool Router::on_value_begin(RequestId id, int attempt, Answer&& head) {
-  auto it = open_.find(id);
-  if (it == open_.end()) return false;
-  Open& open = it->second;
-  Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
-  a.on_wire = false;
-  bool wanted = !open.answered && open.slot;
-  if (wanted) {
-    clients_.stream_begin(*open.slot,
-                          "VA " + std::to_string(head.length) + " O" + open.command.id + "\r\n");
-    open.answered = open.streaming = true;
-    open.source = a.server;
-  }
-  if (a.out) tell_outcome(id, open, attempt, Status::Ok, &head);
-  forget_if_done(id);
-  return wanted;
-}
-
-bool Router::on_value_data(RequestId id, std::string_view data) {
-  auto it = open_.find(id);
-  if (it == open_.end() || !it->second.slot) return true;
-  clients_.stream_data(*it->second.slot, data);
-  return clients_.has_room(*it->second.slot);
-}
-
-void Router::on_value_end(RequestId id, bool whole) {
-  auto it = open_.find(id);
-  if (it == open_.end()) return;
-  Open& open = it->second;
-  open.streaming = false;
-  if (ClientSlot* slot = std::exchange(open.slot, nullptr)) {
-    if (whole)
-      clients_.stream_end(*slot);
-    else
-      clients_.cut(*slot);
-  }
-  forget_if_done(id);
-}
-
 // ---- discovery ----
 
 void Router::on_hosts(HostList&& list) {
@@ -328,6 +338,7 @@
                  status == Status::Moot ? Status::ConnectFailed : Status::Timeout, nullptr);
   }
   if (attempt == -1 && !open.answered) set_timer(clock_.now() + kLastAnswer, Due::Expiry, id, -2);
+  forget_if_done(id);
 }
 
 // ---- the module ----
@@ -469,7 +480,7 @@
   auto it = open_.find(id);
   if (it == open_.end()) return;
   const Open& open = it->second;
-  if (!open.answered || open.streaming || open.untold > 0) return;
+  if (!open.answered || open.untold > 0) return;
   for (const Attempt& a : open.attempts)
     if (a.out) return;
   open_.erase(it);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <queue>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -26,6 +27,9 @@
   bool listen(std::string& error);
   /// Runs until stop() has been carried out.
   void run();
+  /// Swaps the configuration under load: requests and connections go on. Throws ConfigError, with
+  /// nothing changed, when it can't be used.
+  void reload(const Config& next);
   /// Planned end: see PROTOCOL's figures for restarts.
   void stop();
   /// Ends run() without a drain.
@@ -46,9 +50,7 @@
     Micros deadline = 0;
     bool answered = false;  // the final answer is given, or nobody is left to get one
     bool left = false;      // the client sends no more: nothing new is sent for it
-    bool streaming = false;
-    int untold = 0;      // outcomes on their way to the module
-    std::string source;  // server of the streamed value
+    int untold = 0;         // outcomes on their way to the module
     std::vector<Attempt> attempts;
   };
   // What waits for its turn to be told to the module.
@@ -84,12 +86,8 @@
   void on_command(ClientSlot& slot, Command&& command) override;
   void on_left(RequestId id) override;
   void on_gone(RequestId id) override;
-  void on_room(RequestId id) override;
   // ServerSide::Handler
   void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) override;
-  bool on_value_begin(RequestId id, int attempt, Answer&& head) override;
-  bool on_value_data(RequestId id, std::string_view data) override;
-  void on_value_end(RequestId id, bool whole) override;
   // Discovery::Handler
   void on_hosts(HostList&& list) override;
   void on_hosts_failed() override;
@@ -113,6 +111,10 @@
   void act(const robinseam::Timer& a);
   void act(const robinseam::Probe& a);
   void expire(RequestId id, int attempt);
+  /// Whether a client has this id open, or had it a moment ago.
+  bool id_taken(const std::string& id) const;
+  void note_id(const std::string& id);
+  const robinseam::ClassSettings* class_of(const std::string& name) const;
   void give_answer(Open& open, std::string text);
   void tell_outcome(RequestId id, Open& open, int attempt, Status status, Answer* answer);
   void forget_if_done(RequestId id);
@@ -123,6 +125,10 @@
   robinseam::Balancer balancer_;
   std::unordered_map<RequestId, Open> open_;
   RequestId next_id_ = 1;
+  // Clients' ids of the last one to two spans; those of open requests are among them.
+  Micros id_span_;
+  std::array<std::unordered_set<std::string>, 2> ids_;
+  Micros ids_since_ = 0;
   std::size_t max_open_;
   std::deque<Event> events_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -15,20 +15,21 @@
 // command that crosses the server's close ends as a reset, and nobody can tell whether it ran.
 constexpr double kIdlePart = 0.6;
 // Servers, or what stands between, may end idle connections far sooner and say so only when the
-// next command is written. What was seen of it bounds the idle time at that server to this part of
-// the time it took, at least kLeastIdle; the bound doubles every kIdleDoubles.
+// next command is written. Two such resets within kIdleAgain bound the idle time at that server to
+// this part of the time it took; the bound doubles every kIdleDoubles. An end that shows before
+// anything is written does no harm and teaches nothing: servers that are replaced, or that close
+// after an answer, once taught a bound of milliseconds, and every request dialled anew. Nor does a
+// reset after less than kLeastIdle: no idle time-out is that short, and a bound that short would
+// cost more in dials than it saves in resets.
 constexpr double kIdleSeenPart = 0.7;
-constexpr Micros kLeastIdle = 5 * kMillisecond;
-constexpr Micros kIdleDoubles = 20 * kSecond;
+constexpr Micros kLeastIdle = 150 * kMillisecond;
+constexpr Micros kIdleAgain = 10 * kSecond;
+constexpr Micros kIdleDoubles = 10 * kSecond;
 // A reset this soon after the send is the answer to the send itself.
 constexpr Micros kStaleReset = 10 * kMillisecond;
-// One idle for longer than this is looked at for an end before it is used.
-constexpr Micros kPeekAfter = kSecond / 10;
 // An abandoned attempt's answer is waited for this long, so that its connection can be used again;
 // after that the machine is taken for silent.
 constexpr Micros kAbandonTime = kSecond;
-// A large value that makes no progress for this long is cut off; PROTOCOL allows servers 0.1 s.
-constexpr Micros kStallTime = 2 * kSecond;
 // No dial to a server that just refused one while it has connections that work.
 constexpr Micros kDialPause = kSecond / 5;
 // An answer that has come in part and then stops for this long will not come: servers pause 0.1 s
@@ -42,17 +43,22 @@
   std::string id;
   std::string dial;
   std::optional<sockaddr_in> address;
-  bool wanted = false;  // listed and ready
+  bool listed = false;  // named by discovery and not gone
+  bool wanted = false;  // listed and ready, and nobody newer at its address
   Micros born = 0;
   Micros no_dial_until = 0;
   Micros idle_limit = 0;  // a connection idle for longer is not used again
+  Micros idle_reset_at = 0;
   std::vector<std::unique_ptr<ServerConnection>> connections;
 
-  /// A connection that had been idle for `span` turned out to be ended by the server's side.
-  void note_idle_end(Micros span) {
-    idle_limit = std::max(
-        kLeastIdle,
-        std::min(idle_limit, static_cast<Micros>(kIdleSeenPart * static_cast<double>(span))));
+  /// A command written after `span` of idleness was answered with a reset.
+  void note_idle_reset(Micros span, Micros now) {
+    if (span < kLeastIdle) return;
+    bool again = idle_reset_at > 0 && now - idle_reset_at < kIdleAgain;
+    idle_reset_at = now;
+    if (again)
+      idle_limit =
+          std::min(idle_limit, static_cast<Micros>(kIdleSeenPart * static_cast<double>(span)));
   }
 };
 
@@ -61,15 +67,12 @@
   struct Entry {
     RequestId id;
     int attempt;
-    bool live = true;        // somebody waits for it
-    bool streaming = false;  // its large value is being passed on
+    bool live = true;  // somebody waits for it
     bool set;
     std::string answer_id;  // that its answer must bear
-    std::string line;       // small values are in it
-    std::shared_ptr<const std::string> value;
-    Micros since;  // queued, then abandoned
-    std::size_t size() const { return line.size() + (value ? value->size() : 0); }
-    bool large() const { return value != nullptr; }
+    std::string bytes;      // the command, its value too
+    std::size_t size;       // of `bytes`, which are freed once written
+    Micros since;           // queued, then abandoned
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, Fd fd)
@@ -98,10 +101,6 @@
   bool forsaken() const {
     return std::none_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.live; });
   }
-  bool has_large() const {
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [](const Entry& e) { return e.large() || e.streaming; });
-  }
 
   void await_connect() {
     timeval limit = timeval_of(side_.limits_.dial_timeout);
@@ -133,10 +132,7 @@
         if (from == bytes.size()) return;
         parts[count++] = {const_cast<char*>(bytes.data()) + from, bytes.size() - from};
       };
-      for (std::size_t k = sent_; k < entries_.size() && count + 2 <= 64; ++k) {
-        add(entries_[k].line);
-        if (entries_[k].value) add(*entries_[k].value);
-      }
+      for (std::size_t k = sent_; k < entries_.size() && count < 64; ++k) add(entries_[k].bytes);
       msghdr message{};
       message.msg_iov = parts;
       message.msg_iovlen = static_cast<std::size_t>(count);
@@ -151,11 +147,10 @@
         return;
       }
       partial_ += static_cast<std::size_t>(put);
-      while (sent_ < entries_.size() && partial_ >= entries_[sent_].size()) {
+      while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
         Entry& e = entries_[sent_];
-        partial_ -= e.size();
-        e.line.clear();
-        e.value.reset();
+        partial_ -= e.size;
+        std::string().swap(e.bytes);
         ++sent_;
       }
     }
@@ -168,77 +163,54 @@
       Micros now = side_.clock_.now();
       if (entries_.empty()) {
         ++side_.counts_.ended_idle;
-        pool_.note_idle_end(now - used_at_);
       } else {
         ++side_.counts_.ended_busy;
         bool stale = idle_before_ > 0 && sent_ == entries_.size() && sent_ == 1 &&
                      !reader_.in_answer() && now - used_at_ < kStaleReset;
-        if (stale) pool_.note_idle_end(idle_before_);
+        if (stale) pool_.note_idle_reset(idle_before_, now);
       }
       side_.close(*this);
       return;
     }
-    Micros now = used_at_ = side_.clock_.now();
+    used_at_ = side_.clock_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
     Answer answer;
-    std::string_view chunk;
     while (!closed_) {
-      AnswerReader::Got what = reader_.take(in, answer, chunk);
+      AnswerReader::Got what = reader_.take(in, answer);
       if (what == AnswerReader::Got::Nothing) break;
       // Garbage, and answers nobody asked for, say that the two sides no longer agree on what
       // belongs to what: nothing more from this connection may be believed.
-      if (what == AnswerReader::Got::Broken || sent_ == 0) {
-        ++side_.counts_.garbage;
-        side_.close(*this);
+      if (what == AnswerReader::Got::Broken || sent_ == 0 || !fits(entries_.front(), answer)) {
+        spoilt();
         return;
       }
-      Entry& e = entries_.front();
-      switch (what) {
-        case AnswerReader::Got::Answer: {
-          if (!fits(e, answer)) {
-            ++side_.counts_.garbage;
-            side_.close(*this);
-            return;
-          }
-          bool last = answer.last;
-          Entry done = std::move(e);
-          pop();
-          if (!done.live) ++side_.counts_.late_answers;
-          if (done.live) {
-            Status status = status_of(answer);
-            side_.handler_.on_attempt_end(done.id, done.attempt, status, std::move(answer));
-          }
-          if (last) {
-            side_.close(*this);
-            return;
-          }
-          break;
-        }
-        case AnswerReader::Got::Head:
-          if (!fits(e, answer)) {
-            ++side_.counts_.garbage;
-            side_.close(*this);
-            return;
-          }
-          e.streaming = e.live && side_.handler_.on_value_begin(e.id, e.attempt, std::move(answer));
-          ++side_.counts_.large_values;
-          e.live = e.streaming;
-          if (!e.live) e.since = now;
-          break;
-        case AnswerReader::Got::Chunk:
-          if (e.streaming && !side_.handler_.on_value_data(e.id, chunk)) pause();
-          break;
-        case AnswerReader::Got::End:
-          if (e.streaming) side_.handler_.on_value_end(e.id, true);
-          pop();
-          break;
-        default:
-          break;
+      bool last = answer.last;
+      Entry done = std::move(entries_.front());
+      entries_.pop_front();
+      --sent_;
+      if (done.live)
+        side_.handler_.on_attempt_end(done.id, done.attempt, status_of(answer), std::move(answer));
+      else
+        ++side_.counts_.late_answers;
+      if (last) {
+        side_.close(*this);
+        return;
       }
     }
+    // The beginning of something that nobody asked for: it would be read as part of the next
+    // answer.
+    if (sent_ == 0 && reader_.in_answer()) {
+      spoilt();
+      return;
+    }
     if (entries_.empty() && retiring_) side_.close(*this);
   }
 
+  void spoilt() {
+    ++side_.counts_.garbage;
+    side_.close(*this);
+  }
+
   static Status status_of(const Answer& answer) {
     switch (answer.kind) {
       case Answer::Kind::Busy:
@@ -260,23 +232,6 @@
     return answer.id.empty() || answer.id == e.answer_id;
   }
 
-  void pop() {
-    entries_.pop_front();
-    --sent_;
-  }
-
-  void pause() {
-    if (paused_) return;
-    paused_ = true;
-    event_del(read_.get());
-  }
-  void resume() {
-    if (!paused_ || closed_) return;
-    paused_ = false;
-    used_at_ = side_.clock_.now();
-    event_add(read_.get(), nullptr);
-  }
-
   /// True when the peer has ended or broken the connection, or said something unasked.
   bool ended() const {
     char byte;
@@ -293,7 +248,6 @@
   std::size_t sent_ = 0;       // of them, written whole
   std::size_t partial_ = 0;    // bytes of the next one that are written
   bool connecting_ = true;
-  bool paused_ = false;
   bool retiring_ = false;  // nothing new; closes when its answers have come
   bool dirty_ = false;
   bool closed_ = false;
@@ -318,44 +272,57 @@
 
 void ServerSide::take_list(const HostList& list) {
   if (list.whole)
-    for (auto& [id, pool] : pools_) pool->wanted = false;
+    for (auto& [id, pool] : pools_) pool->listed = pool->wanted = false;
   for (const Host& host : list.hosts) {
     bool gone = host.server.health == robinseam::Health::Gone;
-    auto& pool = pools_[host.server.id];
-    if (!pool) {
-      if (gone) {
-        pools_.erase(host.server.id);
-        continue;
-      }
-      pool = std::make_unique<ServerPool>();
-      pool->id = host.server.id;
-      pool->idle_limit = idle_limit();
+    auto at = pools_.find(host.server.id);
+    if (at == pools_.end()) {
+      if (gone) continue;
+      at = pools_.emplace(host.server.id, std::make_unique<ServerPool>()).first;
+      at->second->id = host.server.id;
+      at->second->idle_limit = idle_limit();
     }
+    ServerPool& pool = *at->second;
     // Another process, or another place: what is open leads to the old one.
-    bool moved = !gone && (pool->dial != host.dial || pool->born != host.server.up_since);
+    bool moved = !gone && (pool.dial != host.dial || pool.born != host.server.up_since);
     if (moved) {
-      pool->dial = host.dial;
-      pool->born = host.server.up_since;
-      pool->address = parse_address(host.dial);
-      pool->no_dial_until = 0;
-      pool->idle_limit = idle_limit();
-      for (auto& c : pool->connections) c->retiring_ = true;
+      pool.dial = host.dial;
+      pool.born = host.server.up_since;
+      pool.address = parse_address(host.dial);
+      pool.no_dial_until = 0;
+      pool.idle_limit = idle_limit();
+      for (auto& c : pool.connections) c->retiring_ = true;
     }
-    pool->wanted = host.server.health == robinseam::Health::Ready;
+    pool.listed = !gone;
+    pool.wanted = host.server.health == robinseam::Health::Ready;
   }
-  for (auto it = pools_.begin(); it != pools_.end();) {
-    ServerPool& pool = *it->second;
-    for (std::size_t k = pool.connections.size(); k-- > 0;) {
-      ServerConnection& c = *pool.connections[k];
-      if (!pool.wanted) c.retiring_ = true;
+  // A machine that replaces another may have its address before the list tells that the other is
+  // gone. What is meant for the old one must not reach the new one: it is cold, and its part of the
+  // traffic is dealt out under its own id.
+  std::unordered_map<std::string_view, ServerPool*> newest;
+  for (auto& [id, pool] : pools_) {
+    if (!pool->listed) continue;
+    auto [at, fresh] = newest.emplace(pool->dial, pool.get());
+    if (fresh) continue;
+    ServerPool*& other = at->second;
+    (pool->born > other->born ? other : pool.get())->wanted = false;
+    if (pool->born > other->born) other = pool.get();
+  }
+  for (auto& [id, pool] : pools_)
+    for (std::size_t k = pool->connections.size(); k-- > 0;) {
+      ServerConnection& c = *pool->connections[k];
+      if (!pool->wanted) c.retiring_ = true;
       if (c.retiring_ && c.idle()) close(c);
     }
-    // Servers that have left are forgotten once nothing is out there, so that churn is bounded.
-    bool forget = list.whole && !pool.wanted && pool.connections.empty() &&
-                  std::none_of(list.hosts.begin(), list.hosts.end(),
-                               [&](const Host& h) { return h.server.id == pool.id; });
-    it = forget ? pools_.erase(it) : std::next(it);
-  }
+  forget_gone();
+}
+
+/// Servers that have left are forgotten once nothing is out there, whether a whole list or a change
+/// told of it: ids are ever new.
+void ServerSide::forget_gone() {
+  std::erase_if(pools_, [](const auto& entry) {
+    return !entry.second->listed && entry.second->connections.empty();
+  });
 }
 
 ServerConnection* ServerSide::dial(ServerPool& pool) {
@@ -377,7 +344,7 @@
 ServerConnection* ServerSide::least_loaded(const ServerPool& pool, bool established) const {
   ServerConnection* best = nullptr;
   for (auto& c : pool.connections)
-    if (!c->retiring_ && !(established && c->connecting_) && !c->has_large() &&
+    if (!c->retiring_ && !(established && c->connecting_) &&
         (c->entries_.empty() || c->entries_.front().live) &&
         c->entries_.size() < static_cast<std::size_t>(limits_.streams) &&
         (!best || c->entries_.size() < best->entries_.size()))
@@ -388,7 +355,7 @@
 /// The connection for one more attempt: an idle one that was used last, else a new one, else the
 /// one with the least before it. Answers come in order, so waiting behind another costs its whole
 /// service time; a dial costs a round trip or two.
-ServerConnection* ServerSide::pick(ServerPool& pool, bool large) {
+ServerConnection* ServerSide::pick(ServerPool& pool) {
   Micros now = clock_.now();
   while (true) {
     ServerConnection* idle = nullptr;
@@ -400,35 +367,55 @@
       close(*idle);
       continue;
     }
-    if (now - idle->used_at_ < kPeekAfter || !idle->ended()) return idle;
+    // An end, or bytes that belong to nothing, may have come since the last turn of the loop.
+    if (!idle->ended()) return idle;
     ++counts_.ended_idle;
-    pool.note_idle_end(now - idle->used_at_);
     close(*idle);
   }
-  bool may_dial = now >= pool.no_dial_until || pool.connections.empty();
-  auto room = [&] {
-    return pool.connections.size() < limits_.per_server && total_ < limits_.connections;
-  };
-  if (may_dial && !room()) {
+  if (now >= pool.no_dial_until || pool.connections.empty()) {
     // One that only waits for answers nobody wants makes room.
-    for (auto& c : pool.connections)
-      if (c->forsaken()) {
-        close(*c);
-        break;
-      }
+    if (pool.connections.size() >= limits_.per_server)
+      for (auto& c : pool.connections)
+        if (c->forsaken()) {
+          close(*c);
+          break;
+        }
+    if (make_room(pool))
+      if (ServerConnection* c = dial(pool)) return c;
   }
-  if (may_dial && room())
-    if (ServerConnection* c = dial(pool)) return c;
-  ServerConnection* best = large ? nullptr : least_loaded(pool, false);
+  ServerConnection* best = least_loaded(pool, false);
   if (best) ++counts_.pipelined;
   return best;
 }
 
+/// The budget is shared by all servers. Each wanted one that has no connection keeps room for one,
+/// so that a few slow servers can't take everything; what stands idle elsewhere makes way.
+bool ServerSide::make_room(ServerPool& pool) {
+  if (pool.connections.size() >= limits_.per_server) return false;
+  std::size_t kept = 0;
+  if (!pool.connections.empty())
+    for (auto& [id, other] : pools_) kept += other->wanted && other->connections.empty();
+  while (total_ + kept >= limits_.connections)
+    if (!close_longest_idle()) return false;
+  return true;
+}
+
+bool ServerSide::close_longest_idle() {
+  ServerConnection* longest = nullptr;
+  for (auto& [id, pool] : pools_)
+    for (auto& c : pool->connections)
+      if (c->idle() && (!longest || c->used_at_ < longest->used_at_)) longest = c.get();
+  if (!longest) return false;
+  ++counts_.made_room;
+  close(*longest);
+  return true;
+}
+
 void ServerSide::send(const std::string& server, RequestId id, int attempt, const Command& command,
                       std::int64_t wait_ms) {
   auto at = pools_.find(server);
-  bool large = command.value && command.value->size() > kLargeValue;
-  ServerConnection* c = at == pools_.end() ? nullptr : pick(*at->second, large);
+  bool wanted = at != pools_.end() && at->second->wanted;
+  ServerConnection* c = wanted ? pick(*at->second) : nullptr;
   if (!c) {
     ++counts_.no_connection;
     handler_.on_attempt_end(id, attempt, Status::ConnectFailed, Answer());
@@ -439,11 +426,9 @@
   e.attempt = attempt;
   e.set = command.set;
   e.answer_id = command.id;
-  e.line = command.line(wait_ms);
-  if (large)
-    e.value = command.value;
-  else if (command.value)
-    e.line += *command.value;
+  e.bytes = command.line(wait_ms);
+  if (command.value) e.bytes += *command.value;
+  e.size = e.bytes.size();
   e.since = clock_.now();
   c->idle_before_ = c->idle() ? e.since - c->used_at_ : 0;
   c->used_at_ = e.since;
@@ -464,9 +449,8 @@
         return Status::Moot;
       }
       // The answer is read and dropped when it comes. Closing would take neighbours along.
-      e.live = e.streaming = false;
+      e.live = false;
       e.since = clock_.now();
-      c.resume();
       if (k < c.sent_) return Status::Cancelled;
       // Partly written: finishing it would send the request after its end.
       close(c);
@@ -476,13 +460,6 @@
   return Status::Cancelled;
 }
 
-void ServerSide::resume(const std::string& server, RequestId id) {
-  auto at = pools_.find(server);
-  if (at == pools_.end()) return;
-  for (auto& c : at->second->connections)
-    if (c->paused_ && !c->entries_.empty() && c->entries_.front().id == id) c->resume();
-}
-
 void ServerSide::touch(ServerConnection& c) {
   if (c.dirty_ || c.closed_) return;
   c.dirty_ = true;
@@ -494,9 +471,7 @@
   c.closed_ = true;
   for (std::size_t k = 0; k < c.entries_.size(); ++k) {
     ServerConnection::Entry& e = c.entries_[k];
-    if (e.streaming) {
-      handler_.on_value_end(e.id, false);
-    } else if (e.live) {
+    if (e.live) {
       handler_.on_attempt_end(e.id, e.attempt, k < c.sent_ ? Status::Reset : Status::ConnectFailed,
                               Answer());
     }
@@ -522,7 +497,7 @@
   ServerPool& pool = c.pool_;
   close(c);
   for (ServerConnection::Entry& e : waiting) {
-    ServerConnection* other = e.large() ? nullptr : least_loaded(pool, true);
+    ServerConnection* other = least_loaded(pool, true);
     if (!other) {
       if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
       continue;
@@ -562,12 +537,13 @@
       }
       if (c.entries_.empty()) continue;
       const ServerConnection::Entry& head = c.entries_.front();
-      bool silent = !head.live && now - std::max(head.since, c.used_at_) > kAbandonTime;
-      bool stalled = head.streaming && !c.paused_ && now - c.used_at_ > kStallTime;
-      bool broken_off = c.reader_.in_answer() && !head.streaming && now - c.used_at_ > kPauseTime;
-      if (silent || stalled || broken_off) ++counts_.gave_up, close(c);
+      // Not from its last byte: one that trickles on would keep the connection for good.
+      bool silent = !head.live && now - head.since > kAbandonTime;
+      bool broken_off = c.reader_.in_answer() && now - c.used_at_ > kPauseTime;
+      if (silent || broken_off) ++counts_.gave_up, close(c);
     }
   }
+  forget_gone();
 }
 
 void ServerSide::flush() {
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -28,14 +28,8 @@
    public:
     virtual ~Handler() = default;
     /// The attempt has ended; `answer` is what came, where `status` tells of one. Called once for
-    /// each attempt, unless it was cancelled or its value was streamed.
+    /// each attempt, unless it was cancelled.
     virtual void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) = 0;
-    /// A large value begins. False: it is not wanted and will be dropped as it comes.
-    virtual bool on_value_begin(RequestId id, int attempt, Answer&& head) = 0;
-    /// Only after on_value_begin returned true. on_value_data returns false to be given no more
-    /// until resume().
-    virtual bool on_value_data(RequestId id, std::string_view data) = 0;
-    virtual void on_value_end(RequestId id, bool whole) = 0;
   };
   struct Limits {
     std::size_t connections = 300;  ///< to all servers
@@ -49,6 +43,7 @@
              const std::vector<robinseam::ReportField>* fields);
   ~ServerSide();
 
+  void set_limits(const Limits& limits) { limits_ = limits; }
   /// Takes over what a list says of where servers are and whether they want anything new.
   void take_list(const HostList& list);
 
@@ -57,29 +52,32 @@
             std::int64_t wait_ms);
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt);
-  /// A streamed value may go on.
-  void resume(const std::string& server, RequestId id);
-
   /// Counts since the start, for the log.
   struct Counts {
     std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
     std::uint64_t ended_idle = 0, ended_busy = 0, garbage = 0, closed_idle = 0, gave_up = 0;
-    std::uint64_t late_answers = 0, large_values = 0;
+    std::uint64_t late_answers = 0, made_room = 0;
   };
   const Counts& counts() const { return counts_; }
 
   void flush();
   bool dirty() const { return !dirty_.empty(); }
   std::size_t connections() const { return total_; }
+  /// Servers of which anything is kept.
+  std::size_t servers() const { return pools_.size(); }
 
  private:
   friend class ServerConnection;
   static void on_sweep(evutil_socket_t, short, void* self);
   void sweep();
+  void forget_gone();
   /// How long a connection may stand idle as far as the settings tell.
   Micros idle_limit() const;
-  ServerConnection* pick(ServerPool& pool, bool large);
-  /// Where one more small attempt has the fewest before it; null where none may share.
+  ServerConnection* pick(ServerPool& pool);
+  /// Whether the budgets allow the pool one more connection; closes an idle one elsewhere for it.
+  bool make_room(ServerPool& pool);
+  bool close_longest_idle();
+  /// Where one more attempt has the fewest before it; null where none may share.
   ServerConnection* least_loaded(const ServerPool& pool, bool established) const;
   ServerConnection* dial(ServerPool& pool);
   void touch(ServerConnection& connection);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -146,6 +146,7 @@
     Server listed;
     bool present = false;  // on the current list and ready or draining
     int in_flight = 0;     // own attempts out
+    int kept = 0;          // attempts of open requests, also those that have ended
     double doubt = 0;      // weight of recent failures
     Micros doubt_at = 0;
     int strikes = 0;  // times judged dead without a success between
@@ -190,6 +191,7 @@
   std::uint64_t rng;
   Micros now = 0;
   std::vector<ServerState> servers;
+  std::vector<int> vacant;           // places in `servers` that are free
   std::map<std::string, int> index;  // by id, so that walks over it are in id order
   std::vector<int> slots = std::vector<int>(kSlots, -1);
   std::unordered_map<RequestId, Open> open;
@@ -699,7 +701,9 @@
 
   void forget_if_done(RequestId id) {
     auto it = open.find(id);
-    if (it != open.end() && it->second.closed && !any_out(it->second)) open.erase(it);
+    if (it == open.end() || !it->second.closed || any_out(it->second)) return;
+    for (const Attempt& a : it->second.attempts) --servers[a.server].kept;
+    open.erase(it);
   }
 
   Micros patience(const Open& o) const {
@@ -753,7 +757,7 @@
   void dispatch(Open& o, int server) {
     ServerState& s = servers[server];
     o.attempts.push_back({server, now});
-    ++s.in_flight, ++total_in_flight;
+    ++s.in_flight, ++s.kept, ++total_in_flight;
     fade_rates();
     rate_sum += cost_of(o);
     if (cold(s)) s.cold_tokens -= cost_of(o);
@@ -801,8 +805,14 @@
   }
 
   void take_entry(const Server& e) {
-    auto [it, fresh] = index.try_emplace(e.id, static_cast<int>(servers.size()));
-    if (fresh) servers.emplace_back();
+    auto it = index.find(e.id);
+    if (it == index.end()) {
+      if (e.health == Health::Gone) return;
+      if (vacant.empty())
+        vacant.push_back(static_cast<int>(servers.size())), servers.emplace_back();
+      it = index.emplace(e.id, vacant.back()).first;
+      vacant.pop_back();
+    }
     ServerState& s = servers[it->second];
     bool restarted = e.up_since != s.listed.up_since || !s.present;
     Server was = std::move(s.listed);
@@ -818,6 +828,23 @@
     }
   }
 
+  /// Frees what is kept of servers that are gone, once no open request was sent there: ids are ever
+  /// new, and what an attempt may have done is judged by where it was sent.
+  void forget_gone() {
+    for (auto it = index.begin(); it != index.end();) {
+      int i = it->second;
+      if (servers[i].present || servers[i].kept > 0) {
+        ++it;
+        continue;
+      }
+      servers[i] = ServerState();
+      vacant.push_back(i);
+      for (auto& [name, s] : saved)
+        if (s.home == i) s.home = -1;
+      it = index.erase(it);
+    }
+  }
+
   void check_settings() const {
     auto part = [](double v) { return std::isfinite(v) && v >= 0 && v <= 1; };
     auto amount = [](double v) { return std::isfinite(v) && v >= 0; };
@@ -891,6 +918,7 @@
       if (!named.count(id)) m.servers[i].present = false, m.servers[i].listed.health = Health::Gone;
   }
   for (const Server& e : entries) m.take_entry(e);
+  m.forget_gone();
   m.carve();
   return std::move(m.out);
 }
@@ -1049,7 +1077,7 @@
 
 Balancer::Stats Balancer::stats() const {
   return {impl_->open.size(), impl_->saved.size(),
-          impl_->counts[0].size() + impl_->counts[1].size(), impl_->servers.size(), impl_->draws};
+          impl_->counts[0].size() + impl_->counts[1].size(), impl_->index.size(), impl_->draws};
 }
 
 std::string Balancer::home(const std::string& key) const {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -203,6 +203,44 @@
   EXPECT_LE(b.stats().tracked_keys, 9000u);
 }
 
+// ---- the list ----
+TEST(List, ServersThatHaveGoneAreForgottenAlsoUnderChangesAlone) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(8);
+  b.on_list(0, ListScope::Full, list);
+  RequestId id = 0;
+  for (int k = 0; k < 500; ++k) {
+    Micros now = k * 20 * kMs;
+    Server gone = list[k % 8];
+    gone.health = Health::Gone;
+    list[k % 8].id = "new-" + std::to_string(k);
+    b.on_list(now, ListScope::Delta, {list[k % 8], gone});
+    EXPECT_FALSE(serve(b, now, id, "k" + std::to_string(id % 30)).empty());
+    ++id;
+    EXPECT_LE(b.stats().servers, 8u);
+  }
+}
+
+TEST(List, AServerThatWasGoneWhileARequestWasOutThereIsKeptUntilItsEnd) {
+  Balancer b(basic_settings(), 7, 0);
+  auto list = fleet(1);
+  b.on_list(0, ListScope::Full, list);
+  ASSERT_FALSE(b.on_request(0, read_of(1, "k")).empty());
+  Server gone = list[0], other = list[0];
+  gone.health = Health::Gone;
+  other.id = "other";
+  b.on_list(kMs, ListScope::Delta, {gone, other});
+  EXPECT_EQ(b.stats().servers, 2u);
+  Outcome end;
+  end.id = 1;
+  end.server = list[0].id;
+  end.finished = true;
+  b.on_outcome(2 * kMs, end);
+  b.on_list(3 * kMs, ListScope::Delta, {});
+  EXPECT_EQ(b.stats().servers, 1u);
+  EXPECT_EQ(b.stats().open_requests, 0u);
+}
+
 // ---- server health ----
 TEST(Health, FewFailedConnectionsTakeAServerOutAndItComesBack) {
   Balancer b(basic_settings(), 7, 0);
