Admission: broken connections are no load, an idle fleet shuts no door; doors in the log

Ruled out: descriptors, CPU (0.07 of a core), dials, late answers of servers.

Change: such ends are neutral and retried, at a price of their own; below 0.75 mean utilization and 2% errors half of the ends may be bad before a door moves. Sites without utilization reports keep the old limit.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -215,6 +215,13 @@
     std::size_t tracked_keys = 0;
     std::size_t servers = 0;
     std::uint64_t draws = 0;  ///< LCG draws since the start
+    /// Refused at the door, for want of a server, and after attempts that never ran.
+    std::uint64_t turned_away = 0, unsendable = 0, given_up = 0;
+    double shed_fetched = 0,
+           shed_held = 0;  ///< parts refused now, of keys to fetch and of those held
+    double late = 0, errors = 0, full = 0, unreachable = 0;  ///< per attempt lately
+    double utilization = 0;                                  ///< mean of reports lately
+    double live = 0;                                         ///< servers, by the part that is live
   };
   Stats stats() const;
   /// Where an idle fleet would serve the key's first request now: the server id, or empty.
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -14,7 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr int kMaxDepth = 32;
-constexpr std::size_t kMaxFile = 4u << 20;
+constexpr std::size_t kMaxFile = 1u << 20;
 // A server's id, place and kind are names and its weight a machine's size next to the others';
 // what is far beyond that would only waste memory or upset sums.
 constexpr std::size_t kMaxName = 250;
@@ -193,12 +193,13 @@
   const char* path = std::getenv("NODE_CONFIG");
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream file(path, std::ios::binary);
-  std::string text(kMaxFile + 1, '\0');
-  if (file) file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  std::string text;
+  char part[4096];
+  while (text.size() <= kMaxFile && (file.read(part, sizeof part) || file.gcount() > 0))
+    text.append(part, static_cast<std::size_t>(file.gcount()));
   if (!file && !file.eof())
     throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
                       std::strerror(errno));
-  text.resize(static_cast<std::size_t>(file.gcount()));
   if (text.size() > kMaxFile) throw ConfigError(std::string("NODE_CONFIG: too long: ") + path);
   return parse_config(text);
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -21,6 +21,9 @@
 // within 4 s of it: it is tried this often, this many times, before it counts as failed.
 constexpr Micros kMovePause = kSecond / 4;
 constexpr int kMoveTries = 16;
+// Before a watch that brought no change is renewed, so that a discovery that always answers at once
+// is not called without end. Within 200 ms it is still the same watch.
+constexpr Micros kRenewPause = kSecond / 10;
 // A list of hundreds of servers is some 60 KiB; as JSON in memory it takes several times its text.
 constexpr ev_ssize_t kMaxBody = 512 << 10;
 constexpr ev_ssize_t kMaxHeaders = 16 << 10;
@@ -134,8 +137,8 @@
   watch_ = watch_at(address);
   fetch_ = fetch_at(address);
   version_.clear();
+  renewing_ = false;
   moving_ = kMoveTries;
-  event_del(again_.get());
   call();
 }
 
@@ -165,6 +168,7 @@
 }
 
 void Discovery::call() {
+  event_del(again_.get());
   if (version_.empty()) {
     watch_->start(kPath, kCallTime);
     return;
@@ -177,6 +181,7 @@
 
 void Discovery::take(std::optional<HostList> list) {
   if (!list) {
+    renewing_ = false;
     if (moving_ > 0) {
       --moving_;
       again_in(kMovePause);
@@ -192,8 +197,11 @@
   version_ = list->version;
   if (list->whole || !list->hosts.empty()) fetch_overlapped_ = true;
   // The next call at once: a watch with gaps is a new one.
-  renewing_ = true;
-  call();
+  bool news = !list->whole && !list->hosts.empty();
+  if (std::exchange(renewing_, true) && !news)
+    again_in(kRenewPause);
+  else
+    call();
   handler_.on_hosts(std::move(*list));
 }
 
@@ -203,7 +211,7 @@
 }
 
 void Discovery::on_again(evutil_socket_t, short, void* self) {
-  static_cast<Discovery*>(self)->watch();
+  static_cast<Discovery*>(self)->call();
 }
 
 }  // namespace arrowfork
--- a/src/net/memcache.cpp
+++ b/src/net/memcache.cpp
@@ -317,6 +317,21 @@
   return true;
 }
 
+namespace {
+
+/// Whether `part` can become the line of an answer. Noise need not be waited for to end: the time
+/// until it does is the client's.
+bool may_begin(std::string_view part) {
+  std::string_view verb = part.substr(0, part.find_first_of(" \r"));
+  bool whole = verb.size() < part.size();
+  for (std::string_view known :
+       {"VA", "HD", "EN", "SERVER_ERROR", "CLIENT_ERROR", "ERROR", "NS", "EX", "NF"})
+    if (whole ? verb == known : known.starts_with(verb)) return true;
+  return false;
+}
+
+}  // namespace
+
 AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer) {
   while (true) {
     if (state_ == State::Line) {
@@ -324,7 +339,7 @@
       bool too_long = false;
       auto line = take_text_line(in, partial_, too_long);
       if (too_long) return Got::Broken;
-      if (!line) return Got::Nothing;
+      if (!line) return may_begin(partial_) ? Got::Nothing : Got::Broken;
       bool good = parse_line(*line, answer);
       partial_.clear();
       if (!good) return Got::Broken;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,6 +76,9 @@
 // Attempts. Tokens per request for further attempts and for second copies, and their caps.
 constexpr double kRetryPerRequest = 0.03;
 constexpr double kRetryCap = 10;
+// Tokens for one more attempt: where the last one cost its server no work; where the connection
+// broke or the answer was spoilt, which has nothing to do with load; and elsewhere.
+constexpr double kPriceUnseen = 0.25, kPriceBroken = 0.4, kPriceFull = 1;
 constexpr double kCopyPerRequest = 0.03;
 constexpr double kCopyCap = 3;
 constexpr double kQuantile = 0.95;  // latency quantile that patience is built on
@@ -89,6 +92,13 @@
 constexpr double kShedFade = 0.75;  // of the counts, per step
 constexpr double kShedPrior = 2;    // answers presumed good
 constexpr double kShedBad = 0.2;
+// The same while servers have cores to spare and few attempts end in errors: then some bad ends are
+// those of slow fetches and not of load, and refusing helps nobody. Held at the other figure, the
+// door for keys to fetch stayed shut over an idle fleet, as what it let in and was answered went
+// over to the other door.
+constexpr double kShedBadCalm = 0.5;
+constexpr double kCalmUtil = 0.75;    // mean of the reports
+constexpr double kCalmErrors = 0.02;  // per attempt
 // Per step, were all bad. Misses are cut fast, or the origin's queue, longer than clients wait,
 // never drains; hits slowly, as swings leave servers idle.
 constexpr double kAdmitCut = 0.3;
@@ -179,6 +189,7 @@
     Micros deadline = 0;
     bool closed = false;
     bool missed = false;  // aside mode: a cache held nothing
+    bool broken = false;  // an attempt ended with its connection
     std::vector<Attempt> attempts;
   };
   struct ClassState {
@@ -238,7 +249,7 @@
   bool watching = false, asking = false;
   int ask_failures = 0;
   std::uint64_t ask_token = 0;
-  std::uint64_t draws = 0;
+  std::uint64_t draws = 0, turned_away = 0, unsendable = 0, given_up = 0;
   Actions out;
 
   /// What is left of 1 that halves every `half`.
@@ -383,7 +394,8 @@
   /// How an admitted request ended.
   void note_end(const Open& o, bool answered, bool in_time) {
     Door& d = doors[o.held];
-    ++(in_time ? d.good : d.bad);
+    // What a broken connection or a spoilt answer made late says nothing of load.
+    if (in_time || !o.broken) ++(in_time ? d.good : d.bad);
     auto it = counts[0].find(o.name);
     if (it != counts[0].end()) it->second.held = answered && !o.request.write;
   }
@@ -579,12 +591,14 @@
   /// badly and leaves these alone, overloaded servers make both.
   void step_shed() {
     if (now - shed_at < kShedStep) return;
+    bool calm = util_mean > 0 && util_mean < kCalmUtil && errors < kCalmErrors;
+    double limit = calm ? kShedBadCalm : kShedBad;
     for (bool held : {false, true}) {
       Door& d = doors[held];
       double cut = held ? kAdmitCutHeld : kAdmitCut;
       double bad = d.bad / (d.good + d.bad + kShedPrior);
       double admitted =
-          (1 - d.shed) * (bad > kShedBad ? 1 - cut * bad : 1 + kAdmitGrow * (1 - bad / kShedBad));
+          (1 - d.shed) * (bad > limit ? 1 - cut * bad : 1 + kAdmitGrow * (1 - bad / limit));
       d.shed = 1 - std::clamp(admitted, kAdmitMin, 1.0);
       d.good *= kShedFade, d.bad *= kShedFade;
     }
@@ -684,7 +698,7 @@
   void finish(Open& o) {
     if (o.closed) return;
     o.closed = true;
-    if (!o.attempts.empty()) note_end(o, false, false);
+    if (!o.attempts.empty()) ++given_up, note_end(o, false, false);
     if (may_refuse(o))
       out.push_back(Refuse{o.request.id, set.retry_after ? set.max_retry_after / 4 : 0});
     else
@@ -777,16 +791,19 @@
 
   void go_on(Open& o, Status why) {
     if (o.closed || any_out(o)) return;
-    double price = why == Status::Full || why == Status::ConnectFailed ? 0.25 : 1;
+    bool broken = why == Status::ConnectFailed || why == Status::Reset;
+    double price = why == Status::Full || why == Status::ConnectFailed ? kPriceUnseen
+                   : why == Status::Reset                              ? kPriceBroken
+                                                                       : kPriceFull;
     bool time_left = o.deadline - now > 2 * set.tick;
     if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
     // A fetch that failed ends in an error, and another server would only ask the origin once more:
     // what jams it. Errors are worth a retry where they come from one server and not from others.
     const ServerState& last = servers[o.attempts.back().server];
     bool futile = why == Status::Error && (errors > kFutileErrors || last.doubt < kServerErrs);
-    // Nor anything while requests are refused: a retry would take the place of a first try. A
-    // refused connection cost nobody.
-    futile |= why != Status::ConnectFailed && shedding();
+    // Nor anything while requests are refused: a retry would take the place of a first try. Broken
+    // connections and spoilt answers are no sign of load, and their share is bounded by the tokens.
+    futile |= !broken && shedding();
     if (!futile && time_left && retry_tokens >= price) {
       retry_tokens -= price;
       if (send(o)) return;
@@ -937,7 +954,9 @@
   m.count_arrival(o);
   o.name = hash_name(request.key);
   if (!request.key.empty()) m.count_key(o);
-  if (m.turn_away(o) || !m.send(o)) {
+  bool away = m.turn_away(o);
+  if (away || !m.send(o)) {
+    ++(away ? m.turned_away : m.unsendable);
     m.finish(o);
     m.forget_if_done(request.id);
     return std::move(m.out);
@@ -1003,6 +1022,7 @@
       break;
     case Status::ConnectFailed:
     case Status::Reset:
+      o.broken = true;
       m.note_failure(s, 1, m.unreachable);
       break;
     case Status::Cancelled:
@@ -1076,8 +1096,19 @@
 }
 
 Balancer::Stats Balancer::stats() const {
-  return {impl_->open.size(), impl_->saved.size(),
-          impl_->counts[0].size() + impl_->counts[1].size(), impl_->index.size(), impl_->draws};
+  const Impl& m = *impl_;
+  Stats s;
+  s.open_requests = m.open.size();
+  s.saved_seeds = m.saved.size();
+  s.tracked_keys = m.counts[0].size() + m.counts[1].size();
+  s.servers = m.index.size();
+  s.draws = m.draws;
+  s.turned_away = m.turned_away, s.unsendable = m.unsendable, s.given_up = m.given_up;
+  s.shed_fetched = m.doors[0].shed, s.shed_held = m.doors[1].shed;
+  s.late = m.late, s.errors = m.errors, s.full = m.full, s.unreachable = m.unreachable;
+  s.utilization = m.util_mean;
+  s.live = m.live_sum;
+  return s;
 }
 
 std::string Balancer::home(const std::string& key) const {
--- a/tests/memcache_test.cpp
+++ b/tests/memcache_test.cpp
@@ -164,6 +164,9 @@
   EXPECT_EQ(answers_of("VA -1 O1\r\n", 3).back(), "broken");
   EXPECT_EQ(answers_of("VA 3 O1\r\nabcde\r\n", 3).back(), "broken");
   EXPECT_EQ(answers_of("VA 65537 O1\r\n", 3).back(), "broken");
+  EXPECT_EQ(answers_of("noise without an end", 3).back(), "broken");
+  EXPECT_EQ(answers_of("VAST 3", 3).back(), "broken");
+  EXPECT_EQ(answers_of("SERVER_ERR", 3), std::vector<std::string>());
   EXPECT_EQ(answers_of("VA 3000000000 O1\r\n", 3).back(), "broken");
   EXPECT_EQ(answers_of("VA 3\r\nabc\r\n", 3).back(), "broken");
   EXPECT_EQ(answers_of("VA 3 O1\nabc\r\n", 3).back(), "broken");
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -380,6 +380,64 @@
   EXPECT_GE(other_in, 4);  // some are let in to learn when the origin is back
 }
 
+// Protects against: spoilt answers taken for overload, whose retries stopped with the first
+// refusal.
+TEST(Admission, BrokenConnectionsShutNoDoor) {
+  Balancer b(basic_settings(), 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  int unsent = 0, again = 0;
+  for (RequestId id = 0; id < 1600; ++id) {
+    Micros now = Micros(id) * 10 * kMs;
+    std::string key = "k" + std::to_string(id);
+    if (id % 4 > 0) {
+      unsent += serve(b, now, id, key).empty();
+      continue;
+    }
+    std::string server = sent_to(b.on_request(now, read_of(id, key)));
+    unsent += server.empty();
+    std::string other = sent_to(b.on_outcome(now, ended(id, server, Status::Reset)));
+    if (other.empty()) continue;
+    ++again;
+    b.on_outcome(now, ended(id, other, Status::Ok, 1));
+  }
+  EXPECT_EQ(unsent, 0);
+  EXPECT_GE(again, 100);  // 3 tokens for 100 requests pay for about 7 of them
+}
+
+/// Ever new keys, a third of them answered after the aim, from servers as busy as told; how many
+/// were refused at the door.
+int turned_away_at(double utilization) {
+  Settings s = basic_settings();
+  s.report_fields = {ReportField::Utilization};
+  Balancer b(s, 7, 0);
+  b.on_list(0, ListScope::Full, fleet(6));
+  int refused = 0;
+  RequestId id = 0;
+  for (int round = 0; round < 200; ++round) {
+    Micros now = Micros(round) * 300 * kMs;
+    std::vector<Outcome> ends;
+    for (int k = 0; k < 12; ++k, ++id) {
+      std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+      if (server.empty()) {
+        ++refused;
+        continue;
+      }
+      ends.push_back(ended(id, server, Status::Ok, 0, (k % 3 ? 20 : 200) * kMs));
+      ends.back().report = {utilization};
+    }
+    for (Micros latency : {20 * kMs, 200 * kMs})
+      for (const Outcome& end : ends)
+        if (end.latency == latency) b.on_outcome(now + latency, end);
+  }
+  return refused;
+}
+
+// Protects against: a door held shut by slow fetches while the servers stand idle.
+TEST(Admission, SlowFetchesShutADoorOnlyOverBusyServers) {
+  EXPECT_EQ(turned_away_at(0.4), 0);
+  EXPECT_GT(turned_away_at(0.95), 100);
+}
+
 // ---- attempts ----
 TEST(Attempts, EmptyListRefusesAtOnce) {
   Balancer b(basic_settings(), 7, 0);
