Spoilt answers are not resets; abandoned attempts make room; keys stay held through a jam

Changes: Status::Spoilt with half a failure's weight and a rate of its own; connections that only abandoned attempts wait on make room for others; a key stays held unless a fetch failed or it was written; calm needs few abandoned requests as well. A value that ends short of its length is given up after 20 ms. What the file says of addresses comes before the environment of the first start. Clients that linger make room before others.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -142,6 +142,7 @@
   Cancelled,      ///< may have run
   Moot,           ///< never sent
   Miss,           ///< aside mode: nothing held there for the key
+  Spoilt,         ///< answered with what can't be read, or behind such an answer; may have run
 };
 
 struct Outcome {
@@ -219,9 +220,10 @@
     std::uint64_t turned_away = 0, unsendable = 0, given_up = 0;
     double shed_fetched = 0,
            shed_held = 0;  ///< parts refused now, of keys to fetch and of those held
-    double late = 0, errors = 0, full = 0, unreachable = 0;  ///< per attempt lately
-    double utilization = 0;                                  ///< mean of reports lately
-    double live = 0;                                         ///< servers, by the part that is live
+    /// Per attempt lately.
+    double late = 0, errors = 0, full = 0, unreachable = 0, spoilt = 0;
+    double utilization = 0;  ///< mean of reports lately
+    double live = 0;         ///< servers, by the part that is live
   };
   Stats stats() const;
   /// Where an idle fleet would serve the key's first request now: the server id, or empty.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,7 @@
 /// SIGHUP. A file that can't be used, half-written or gone, leaves everything as it is.
 void reload(arrowfork::Router& router) {
   try {
-    router.reload(arrowfork::reload_config());
+    router.reload(arrowfork::load_config());
   } catch (const std::exception& e) {
     complain(std::string("reload: old configuration kept: ") + e.what());
   }
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -24,8 +25,8 @@
 // theirs for good would fill the table with them. DAYS allows it from 2 s on; clients' own pools
 // are used again well within this, and closing those would cost them connects and crossings.
 constexpr Micros kIdleTime = 10 * kSecond;
-// When the table is full, a connection that has said nothing for this long after its connect goes
-// first: clients connect to ask.
+// When the table is full, a connection that has said nothing for this long after its connect makes
+// way, and one that has not closed this long after its last answer: clients connect to ask.
 constexpr Micros kSilentTime = kSecond / 10;
 // A client that takes none of its answer for this long is given up.
 constexpr Micros kStallTime = 2 * kSecond;
@@ -336,20 +337,25 @@
   }
 }
 
-/// First the one that has been silent longest since its connect, if it had time to ask; then one
-/// that had its answers, idle the longest. One that has just come keeps its chance to ask.
+/// First one that has its last answer and only has to close, then one that has been silent since
+/// its connect, each if it had time to act; then one that had its answers. The oldest of each.
+/// Guards against floods of connections of any kind; the harm is a connect more for a client that
+/// was slow.
 bool ClientSide::make_room() {
-  ClientConnection *silent = nullptr, *idle = nullptr;
+  enum { kLingering, kSilent, kIdle, kKinds };
+  std::array<ClientConnection*, kKinds> oldest{};
   for (auto& c : connections_) {
-    if (!c->idle() || c->lingering_) continue;
-    ClientConnection*& best = c->asked_ ? idle : silent;
+    if (!c->idle()) continue;
+    ClientConnection*& best = oldest[c->lingering_ ? kLingering : c->asked_ ? kIdle : kSilent];
     if (!best || c->since_ < best->since_) best = c.get();
   }
-  if (silent && clock_.now() - silent->since_ < kSilentTime) silent = nullptr;
-  ClientConnection* least = silent ? silent : idle;
-  if (!least) return false;
-  close(*least);
-  return true;
+  for (int kind = 0; kind < kKinds; ++kind) {
+    ClientConnection* c = oldest[kind];
+    if (!c || (kind != kIdle && clock_.now() - c->since_ < kSilentTime)) continue;
+    close(*c);
+    return true;
+  }
+  return false;
 }
 
 void ClientSide::sweep() {
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -189,7 +189,7 @@
   }
 }
 
-Config reload_config() {
+Config load_config() {
   const char* path = std::getenv("NODE_CONFIG");
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream file(path, std::ios::binary);
@@ -201,18 +201,14 @@
     throw ConfigError(std::string("NODE_CONFIG: cannot read ") + path + ": " +
                       std::strerror(errno));
   if (text.size() > kMaxFile) throw ConfigError(std::string("NODE_CONFIG: too long: ") + path);
-  return parse_config(text);
-}
-
-Config load_config() {
-  Config c = reload_config();
-  auto override_with = [](const char* variable, std::string& value) {
+  Config c = parse_config(text);
+  auto fill = [](const char* variable, std::string& value) {
     const char* set = std::getenv(variable);
-    if (set && *set) value = set;
+    if (value.empty() && set) value = set;
   };
-  override_with("NODE_NAME", c.name);
-  override_with("NODE_LISTEN", c.listen);
-  override_with("NODE_DISCOVERY", c.discovery);
+  fill("NODE_NAME", c.name);
+  fill("NODE_LISTEN", c.listen);
+  fill("NODE_DISCOVERY", c.discovery);
   if (c.listen.empty()) throw ConfigError("listen: missing");
   if (c.discovery.empty()) throw ConfigError("discovery: missing");
   return c;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -39,13 +39,10 @@
   robinseam::drill::LinkSettings links;
 };
 
-/// Reads the file that NODE_CONFIG names; the other NODE_ variables, where set, come before it.
-/// Throws ConfigError.
+/// Reads the file that NODE_CONFIG names. The other NODE_ variables say what it leaves out: they
+/// are those of the first start, while the file may have been replaced since. Throws ConfigError.
 Config load_config();
-/// Reads the file again for a reload. What the file says comes before the environment, which still
-/// has the values of the start. Throws ConfigError.
-Config reload_config();
-/// The same from the file's text alone.
+/// The file's text alone.
 Config parse_config(const std::string& json);
 
 }  // namespace arrowfork
--- a/src/net/memcache.cpp
+++ b/src/net/memcache.cpp
@@ -332,6 +332,10 @@
 
 }  // namespace
 
+bool AnswerReader::ends_early() const {
+  return state_ == State::Value && ends_line(pending_.value);
+}
+
 AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer) {
   while (true) {
     if (state_ == State::Line) {
--- a/src/net/memcache.hpp
+++ b/src/net/memcache.hpp
@@ -85,6 +85,8 @@
   Got take(std::string_view& in, Answer& answer);
   /// True while an answer has come in part.
   bool in_answer() const { return !partial_.empty() || state_ != State::Line; }
+  /// True while what has come of a value ends like a whole one.
+  bool ends_early() const;
 
  private:
   enum class State { Line, Value };
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -137,7 +137,7 @@
   EventPtr timer_event_, stop_event_, log_event_;
   struct Counts {
     std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0;
-    std::array<std::uint64_t, 9> outcomes{};  // by Status
+    std::array<std::uint64_t, 10> outcomes{};  // by Status
   } counts_;
   ClientSide clients_;
   ServerSide servers_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -35,6 +35,9 @@
 // An answer that has come in part and then stops for this long will not come: servers pause 0.1 s
 // at most. Ending the attempt then, and not at the client's deadline, leaves time for another.
 constexpr Micros kPauseTime = 120 * kMillisecond;
+// The same where what has come ends as a value does, only short of its length: then the length is
+// wrong. Harm: a value that holds a line end just where the server paused runs twice.
+constexpr Micros kEndTime = 20 * kMillisecond;
 constexpr Micros kSweep = kSecond / 40;
 
 }  // namespace
@@ -193,7 +196,7 @@
       else
         ++side_.counts_.late_answers;
       if (last) {
-        side_.close(*this);
+        side_.close(*this, Status::Spoilt);
         return;
       }
     }
@@ -208,7 +211,7 @@
 
   void spoilt() {
     ++side_.counts_.garbage;
-    side_.close(*this);
+    side_.close(*this, Status::Spoilt);
   }
 
   static Status status_of(const Answer& answer) {
@@ -373,13 +376,6 @@
     close(*idle);
   }
   if (now >= pool.no_dial_until || pool.connections.empty()) {
-    // One that only waits for answers nobody wants makes room.
-    if (pool.connections.size() >= limits_.per_server)
-      for (auto& c : pool.connections)
-        if (c->forsaken()) {
-          close(*c);
-          break;
-        }
     if (make_room(pool))
       if (ServerConnection* c = dial(pool)) return c;
   }
@@ -389,26 +385,38 @@
 }
 
 /// The budget is shared by all servers. Each wanted one that has no connection keeps room for one,
-/// so that a few slow servers can't take everything; what stands idle elsewhere makes way.
+/// so that a few slow servers can't take everything. What stands idle makes way, then what only
+/// waits for answers that nobody wants any more: when a server or the origin jams, those come by
+/// the hundred, and each would hold its connection for kAbandonTime.
 bool ServerSide::make_room(ServerPool& pool) {
-  if (pool.connections.size() >= limits_.per_server) return false;
+  if (pool.connections.size() >= limits_.per_server) {
+    ServerConnection* spare = nullptr;
+    spare_of(pool, spare);
+    if (!spare) return false;
+    ++counts_.made_room;
+    close(*spare);
+  }
   std::size_t kept = 0;
   if (!pool.connections.empty())
     for (auto& [id, other] : pools_) kept += other->wanted && other->connections.empty();
-  while (total_ + kept >= limits_.connections)
-    if (!close_longest_idle()) return false;
+  while (total_ + kept >= limits_.connections) {
+    ServerConnection* spare = nullptr;
+    for (auto& [id, other] : pools_) spare_of(*other, spare);
+    if (!spare) return false;
+    ++counts_.made_room;
+    close(*spare);
+  }
   return true;
 }
 
-bool ServerSide::close_longest_idle() {
-  ServerConnection* longest = nullptr;
-  for (auto& [id, pool] : pools_)
-    for (auto& c : pool->connections)
-      if (c->idle() && (!longest || c->used_at_ < longest->used_at_)) longest = c.get();
-  if (!longest) return false;
-  ++counts_.made_room;
-  close(*longest);
-  return true;
+/// Puts the pool's connection that is missed least into `spare`, if it is missed less than that.
+void ServerSide::spare_of(const ServerPool& pool, ServerConnection*& spare) const {
+  for (auto& c : pool.connections) {
+    if (c->connecting_ || !c->forsaken()) continue;
+    if (!spare || c->idle() > spare->idle() ||
+        (c->idle() == spare->idle() && c->used_at_ < spare->used_at_))
+      spare = c.get();
+  }
 }
 
 void ServerSide::send(const std::string& server, RequestId id, int attempt, const Command& command,
@@ -466,13 +474,13 @@
   dirty_.push_back(&c);
 }
 
-void ServerSide::close(ServerConnection& c) {
+void ServerSide::close(ServerConnection& c, Status written) {
   if (c.closed_) return;
   c.closed_ = true;
   for (std::size_t k = 0; k < c.entries_.size(); ++k) {
     ServerConnection::Entry& e = c.entries_[k];
     if (e.live) {
-      handler_.on_attempt_end(e.id, e.attempt, k < c.sent_ ? Status::Reset : Status::ConnectFailed,
+      handler_.on_attempt_end(e.id, e.attempt, k < c.sent_ ? written : Status::ConnectFailed,
                               Answer());
     }
   }
@@ -539,8 +547,10 @@
       const ServerConnection::Entry& head = c.entries_.front();
       // Not from its last byte: one that trickles on would keep the connection for good.
       bool silent = !head.live && now - head.since > kAbandonTime;
-      bool broken_off = c.reader_.in_answer() && now - c.used_at_ > kPauseTime;
-      if (silent || broken_off) ++counts_.gave_up, close(c);
+      Micros pause = c.reader_.ends_early() ? kEndTime : kPauseTime;
+      bool broken_off = c.reader_.in_answer() && now - c.used_at_ > pause;
+      if (silent || broken_off)
+        ++counts_.gave_up, close(c, broken_off ? Status::Spoilt : Status::Reset);
     }
   }
   forget_gone();
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -74,15 +74,15 @@
   /// How long a connection may stand idle as far as the settings tell.
   Micros idle_limit() const;
   ServerConnection* pick(ServerPool& pool);
-  /// Whether the budgets allow the pool one more connection; closes an idle one elsewhere for it.
+  /// Whether the budgets allow the pool one more connection; closes one that is not missed for it.
   bool make_room(ServerPool& pool);
-  bool close_longest_idle();
+  void spare_of(const ServerPool& pool, ServerConnection*& spare) const;
   /// Where one more attempt has the fewest before it; null where none may share.
   ServerConnection* least_loaded(const ServerPool& pool, bool established) const;
   ServerConnection* dial(ServerPool& pool);
   void touch(ServerConnection& connection);
-  /// Ends the connection; every attempt on it gets its outcome.
-  void close(ServerConnection& connection);
+  /// Ends the connection; every attempt on it gets its outcome, those written whole `written`.
+  void close(ServerConnection& connection, Status written = Status::Reset);
   void failed_dial(ServerConnection& connection);
 
   event_base* base_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -99,6 +99,9 @@
 constexpr double kShedBadCalm = 0.5;
 constexpr double kCalmUtil = 0.75;    // mean of the reports
 constexpr double kCalmErrors = 0.02;  // per attempt
+// Requests that ran out of time with an attempt out, per attempt: a jammed origin leaves cores
+// idle.
+constexpr double kCalmAbandoned = 0.05;
 // Per step, were all bad. Misses are cut fast, or the origin's queue, longer than clients wait,
 // never drains; hits slowly, as swings leave servers idle.
 constexpr double kAdmitCut = 0.3;
@@ -190,6 +193,7 @@
     bool closed = false;
     bool missed = false;  // aside mode: a cache held nothing
     bool broken = false;  // an attempt ended with its connection
+    bool erred = false;   // an attempt ended in an error
     std::vector<Attempt> attempts;
   };
   struct ClassState {
@@ -231,7 +235,8 @@
   double queue_mean = 0, util_mean = 0;
   int total_in_flight = 0;
   // Failures per attempt over the whole fleet, lately.
-  double errors = 0, late = 0, unreachable = 0, full = 0;
+  double errors = 0, late = 0, unreachable = 0, full = 0, spoilt = 0;
+  double abandoned = 0;
   double retry_tokens = kRetryCap / 2, copy_tokens = kCopyCap / 2;
   struct Door {
     double shed = 0;
@@ -397,7 +402,11 @@
     // What a broken connection or a spoilt answer made late says nothing of load.
     if (in_time || !o.broken) ++(in_time ? d.good : d.bad);
     auto it = counts[0].find(o.name);
-    if (it != counts[0].end()) it->second.held = answered && !o.request.write;
+    // A request that ran out of time or was turned away as full tells nothing of the key: in a jam
+    // all hot keys did, passed for keys to fetch, and were refused long after while their copies
+    // stood by. Only a failed fetch or a write says that no copy is left.
+    if (it != counts[0].end() && (answered || o.erred || o.request.write))
+      it->second.held = answered && !o.request.write;
   }
 
   /// Whether a copy of the key in the own zone would pay.
@@ -591,7 +600,8 @@
   /// badly and leaves these alone, overloaded servers make both.
   void step_shed() {
     if (now - shed_at < kShedStep) return;
-    bool calm = util_mean > 0 && util_mean < kCalmUtil && errors < kCalmErrors;
+    bool calm = util_mean > 0 && util_mean < kCalmUtil && errors < kCalmErrors &&
+                abandoned < kCalmAbandoned;
     double limit = calm ? kShedBadCalm : kShedBad;
     for (bool held : {false, true}) {
       Door& d = doors[held];
@@ -791,9 +801,9 @@
 
   void go_on(Open& o, Status why) {
     if (o.closed || any_out(o)) return;
-    bool broken = why == Status::ConnectFailed || why == Status::Reset;
+    bool broken = why == Status::ConnectFailed || why == Status::Reset || why == Status::Spoilt;
     double price = why == Status::Full || why == Status::ConnectFailed ? kPriceUnseen
-                   : why == Status::Reset                              ? kPriceBroken
+                   : broken                                            ? kPriceBroken
                                                                        : kPriceFull;
     bool time_left = o.deadline - now > 2 * set.tick;
     if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
@@ -1000,6 +1010,8 @@
   if (r.status == Status::Ok || r.status == Status::Timeout)
     follow(m.late, r.status == Status::Timeout);
   follow(m.full, r.status == Status::Full);
+  if (r.status != Status::Cancelled) follow(m.abandoned, false);
+  follow(m.spoilt, r.status == Status::Spoilt);
   follow(m.unreachable, r.status == Status::ConnectFailed || r.status == Status::Reset);
   switch (r.status) {
     case Status::Ok:
@@ -1018,6 +1030,7 @@
       m.note_latency(s, o.cls, r.latency, false);
       break;
     case Status::Error:
+      o.erred = true;
       m.note_failure(s, 0.5, m.errors);
       break;
     case Status::ConnectFailed:
@@ -1025,6 +1038,10 @@
       o.broken = true;
       m.note_failure(s, 1, m.unreachable);
       break;
+    case Status::Spoilt:  // it does answer: worth less than silence, and little where all do it
+      o.broken = true;
+      m.note_failure(s, 0.5, m.spoilt);
+      break;
     case Status::Cancelled:
     case Status::Moot:
       break;
@@ -1069,6 +1086,7 @@
   if (it == m.open.end() || it->second.closed) return {};
   Impl::Open& o = it->second;
   if (kind == kDeadlineTimer) {
+    if (m.any_out(o)) follow(m.abandoned, true);
     for (const Impl::Attempt& a : o.attempts)
       if (a.ran == Impl::Ran::Out && m.now - a.sent > m.patience(o))
         m.note_stall(m.servers[a.server], 1);
@@ -1106,6 +1124,7 @@
   s.turned_away = m.turned_away, s.unsendable = m.unsendable, s.given_up = m.given_up;
   s.shed_fetched = m.doors[0].shed, s.shed_held = m.doors[1].shed;
   s.late = m.late, s.errors = m.errors, s.full = m.full, s.unreachable = m.unreachable;
+  s.spoilt = m.spoilt;
   s.utilization = m.util_mean;
   s.live = m.live_sum;
   return s;
--- a/tests/memcache_test.cpp
+++ b/tests/memcache_test.cpp
@@ -158,6 +158,18 @@
   EXPECT_EQ(seen.back(), "0 9  h0 - - 0.500000 v\r\n");
 }
 
+TEST(AnswerReader, AValueThatEndsShortOfItsLengthIsTold) {
+  for (bool short_of_it : {true, false}) {
+    AnswerReader reader(&kFields);
+    std::string text = std::string("VA 10 O1\r\nabc") + (short_of_it ? "\r\n" : "");
+    std::string_view in = text;
+    Answer answer;
+    EXPECT_EQ(reader.take(in, answer), AnswerReader::Got::Nothing);
+    EXPECT_TRUE(reader.in_answer());
+    EXPECT_EQ(reader.ends_early(), short_of_it);
+  }
+}
+
 TEST(AnswerReader, GarbageBreaks) {
   EXPECT_EQ(answers_of("HTTP/1.1 200 OK\r\n", 3).back(), "broken");
   EXPECT_EQ(answers_of("VA x O1\r\n", 3).back(), "broken");
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -637,6 +637,78 @@
   EXPECT_TRUE(ended);
 }
 
+// A jam leaves attempts that nobody waits for any more, each on a connection that is not idle.
+TEST(ServerSide, ConnectionsOnlyAbandonedAttemptsWaitOnMakeRoom) {
+  Peer server;
+  ConfigText config = one_server(server);
+  config.sockets = 64;  // of them 13 for servers
+  RunningRouter router(config);
+  std::vector<Link> clients, silent;
+  for (int k = 0; k < 13; ++k) {
+    std::string id = "V" + std::to_string(k);
+    clients.push_back(router.client());
+    clients.back().write(get(id, id, "250"));
+    silent.push_back(server.accept());
+    EXPECT_EQ(id_of(silent.back().line()), id);
+  }
+  for (Link& client : clients) EXPECT_EQ(client.line().substr(0, 12), "SERVER_ERROR");
+  bool reached = false;
+  for (int k = 0; k < 40 && !reached; ++k) {  // the door may be shut to some keys by now
+    std::string id = "W" + std::to_string(k);
+    clients[0].write(get(id, id));
+    std::vector<pollfd> fds = {{server.fd(), POLLIN, 0}, {clients[0].fd(), POLLIN, 0}};
+    ASSERT_GT(::poll(fds.data(), fds.size(), kPatienceMs), 0);
+    reached = fds[0].revents != 0;
+    if (!reached) {
+      EXPECT_EQ(clients[0].line().substr(0, 12), "SERVER_ERROR");
+    }
+  }
+  EXPECT_TRUE(reached);
+}
+
+// Ids are ever new, and a watch may tell of changes alone.
+TEST(ServerSide, ServersThatAreGoneAreForgottenUnderChangesAlone) {
+  struct Nobody final : ServerSide::Handler {
+    void on_attempt_end(RequestId, int, Status, Answer&&) override {}
+  } nobody;
+  EventBasePtr base(event_base_new());
+  Clock clock;
+  ServerSide side(base.get(), clock, nobody, {}, nullptr);
+  std::string last = "s-0";
+  side.take_list(parse_host_list(list_json(1, true, {host_json(last, "127.0.0.1:9")})));
+  for (int k = 1; k < 100; ++k) {
+    std::string next = "s-" + std::to_string(k);
+    side.take_list(parse_host_list(list_json(
+        k + 1, false, {host_json(next, "127.0.0.1:9"), host_json(last, "127.0.0.1:9", "left")})));
+    EXPECT_EQ(side.servers(), 1u);
+    last = next;
+  }
+}
+
+TEST(ServerSide, WhatWasOpenToTheOldServerOfAnAddressIsNotUsedForTheNewOne) {
+  Peer discovery, server;
+  ConfigText config = one_server(server);
+  config.mode = "automatic";
+  config.discovery = discovery.address();
+  RunningRouter router(config);
+  answer_call(discovery, http(list_json(5, false, {})));
+  Link watch = discovery.accept();
+  for (std::string header = watch.line(); header.size() > 2;) header = watch.line();
+  Link client = router.client();
+  client.write(get("U1"));
+  Link old_one = server.accept();
+  EXPECT_EQ(id_of(old_one.line()), "U1");
+  old_one.write(value_answer("U1", "v"));
+  EXPECT_EQ(client.line(), "VA 1 OU1\r\n");
+  EXPECT_EQ(client.line(), "v\r\n");
+  // The replacement is listed before the old one is told to be gone.
+  watch.write(http(list_json(6, false, {host_json("s-2", server.address(), "active", 5000)})));
+  EXPECT_TRUE(old_one.ends());
+  client.write(get("U2"));
+  Link new_one = server.accept();
+  EXPECT_EQ(id_of(new_one.line()), "U2");
+}
+
 TEST(ServerSide, AServerWithoutConnectionsGetsOneWhereAllAreTaken) {
   std::vector<Peer> peers(16);  // of 64 descriptors, servers get 13
   ConfigText config;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -342,6 +342,37 @@
   EXPECT_GE(cold_sends, 1);
 }
 
+// Protects against: servers held for dead because answers are spoilt now and then, from all alike.
+TEST(Health, SpoiltAnswersNowAndThenTakeNoServerOutButOneThatGivesNoOthersGoes) {
+  for (bool always : {false, true}) {
+    Balancer b(basic_settings(), 7, 0);
+    auto list = fleet(6);
+    b.on_list(0, ListScope::Full, list);
+    std::string bad = list[2].id;
+    int seen = 0, late_at_bad = 0, out = 0;
+    for (RequestId id = 0; id < 600; ++id) {
+      Micros now = Micros(id) * 10 * kMs;
+      std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+      if (server.empty()) continue;
+      seen += server == bad;
+      late_at_bad += server == bad && id >= 300;
+      // Two in a row of each eight: a pair of resets would have taken it out.
+      bool spoilt = server == bad && (always || seen % 8 < 2);
+      std::string other =
+          sent_to(b.on_outcome(now, ended(id, server, spoilt ? Status::Spoilt : Status::Ok)));
+      if (!other.empty()) b.on_outcome(now, ended(id, other, Status::Ok, 1));
+      out += b.live_fraction(bad) == 0;
+    }
+    if (always) {
+      EXPECT_GT(out, 300);
+      EXPECT_LT(late_at_bad, 10);
+    } else {
+      EXPECT_EQ(out, 0);
+      EXPECT_GT(late_at_bad, 30);
+    }
+  }
+}
+
 // ---- admission ----
 // Protects against: a shed level that never fell because at a high level too few answers came to
 // judge by.
