--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -51,6 +51,7 @@
   l.streams = c.links.streams;
   l.keepalive = c.links.keepalive;
   l.dial_timeout = c.links.dial_timeout;
+  l.may_cancel = c.settings.may_cancel;
   return l;
 }
 
@@ -170,16 +171,18 @@
       "| "
       "connections %zu dials %lu failed %lu none %lu pipelined %lu ended idle %lu busy %lu "
       "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu servers %zu | "
-      "turned away %lu unsendable %lu given up %lu shed fetched %.2f held %.2f late %.2f "
+      "hits %lu misses %lu turned away %lu unsendable %lu given up %lu shed fetched %.2f held %.2f "
+      "late %.2f "
       "errors %.2f full %.2f unreachable %.2f spoilt %.2f utilization %.2f live %.1f seeds %zu "
       "keys %zu\n",
       c.requests, r->open_.size(), c.refused, c.failed, c.gone, r->clients_.connections(),
       c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4], c.outcomes[5],
       c.outcomes[6], c.outcomes[7], c.outcomes[9], r->servers_.connections(), s.dials,
       s.failed_dials, s.no_connection, s.pipelined, s.ended_idle, s.ended_busy, s.garbage,
-      s.closed_idle, s.gave_up, s.late_answers, s.made_room, r->servers_.servers(), m.turned_away,
-      m.unsendable, m.given_up, m.shed_fetched, m.shed_held, m.late, m.errors, m.full,
-      m.unreachable, m.spoilt, m.utilization, m.live, m.saved_seeds, m.tracked_keys);
+      s.closed_idle, s.gave_up, s.late_answers, s.made_room, r->servers_.servers(), c.hits,
+      c.misses, m.turned_away, m.unsendable, m.given_up, m.shed_fetched, m.shed_held, m.late,
+      m.errors, m.full, m.unreachable, m.spoilt, m.utilization, m.live, m.saved_seeds,
+      m.tracked_keys);
 }
 
 // ---- clients ----
@@ -361,6 +364,8 @@
   e.outcome.latency = clock_.now() - a.sent;
   e.outcome.attempt = attempt;
   if (answer) {
+    counts_.hits += answer->note == 1;
+    counts_.misses += answer->note > 1;
     e.outcome.note = answer->note;
     e.outcome.report = std::move(answer->report);
   }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -136,7 +136,7 @@
   Micros armed_at_ = 0;
   EventPtr timer_event_, stop_event_, log_event_;
   struct Counts {
-    std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0;
+    std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0, hits = 0, misses = 0;
     std::array<std::uint64_t, 10> outcomes{};  // by Status
   } counts_;
   ClientSide clients_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -456,13 +456,18 @@
         c.entries_.erase(c.entries_.begin() + static_cast<std::ptrdiff_t>(k));
         return Status::Moot;
       }
-      // The answer is read and dropped when it comes. Closing would take neighbours along.
       e.live = false;
       e.since = clock_.now();
-      if (k < c.sent_) return Status::Cancelled;
       // Partly written: finishing it would send the request after its end.
-      close(c);
-      return Status::Moot;
+      if (k >= c.sent_) {
+        close(c);
+        return Status::Moot;
+      }
+      // Closing is what tells the server: it may drop what still waits in its queue, where given-up
+      // work would keep out others when it jams. The price is a dial. Where neighbours would be
+      // taken along, the answer is read and dropped when it comes.
+      if (limits_.may_cancel && c.forsaken()) close(c);
+      return Status::Cancelled;
     }
   }
   return Status::Cancelled;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -37,6 +37,7 @@
     int streams = 32;  ///< attempts on one connection
     Micros keepalive = 15 * kSecond;
     Micros dial_timeout = 75 * kMillisecond;
+    bool may_cancel = false;  ///< servers may drop what is given up
   };
 
   ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
