--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -164,13 +164,15 @@
   const Counts& c = r->counts_;
   const ServerSide::Counts& s = r->servers_.counts();
   const robinseam::Balancer::Stats m = r->balancer_.stats();
+  const auto worst = r->servers_.most_given_up();  // attempts given up there
   std::fprintf(
       stderr,
       "arrowfork: requests %lu open %zu refused %lu failed %lu gone %lu clients %zu | ok %lu "
       "error %lu full %lu timeout %lu unreached %lu reset %lu cancelled %lu unsent %lu spoilt %lu "
       "| "
       "connections %zu dials %lu failed %lu none %lu pipelined %lu ended idle %lu busy %lu "
-      "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu servers %zu | "
+      "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu servers %zu worst "
+      "%s %lu | "
       "hits %lu misses %lu turned away %lu unsendable %lu given up %lu shed fetched %.2f held %.2f "
       "late %.2f "
       "errors %.2f full %.2f unreachable %.2f spoilt %.2f utilization %.2f live %.1f seeds %zu "
@@ -179,10 +181,10 @@
       c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4], c.outcomes[5],
       c.outcomes[6], c.outcomes[7], c.outcomes[9], r->servers_.connections(), s.dials,
       s.failed_dials, s.no_connection, s.pipelined, s.ended_idle, s.ended_busy, s.garbage,
-      s.closed_idle, s.gave_up, s.late_answers, s.made_room, r->servers_.servers(), c.hits,
-      c.misses, m.turned_away, m.unsendable, m.given_up, m.shed_fetched, m.shed_held, m.late,
-      m.errors, m.full, m.unreachable, m.spoilt, m.utilization, m.live, m.saved_seeds,
-      m.tracked_keys);
+      s.closed_idle, s.gave_up, s.late_answers, s.made_room, r->servers_.servers(),
+      worst.first.c_str(), worst.second, c.hits, c.misses, m.turned_away, m.unsendable, m.given_up,
+      m.shed_fetched, m.shed_held, m.late, m.errors, m.full, m.unreachable, m.spoilt, m.utilization,
+      m.live, m.saved_seeds, m.tracked_keys);
 }
 
 // ---- clients ----
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -52,6 +52,7 @@
   Micros no_dial_until = 0;
   Micros idle_limit = 0;  // a connection idle for longer is not used again
   Micros idle_reset_at = 0;
+  std::uint64_t given_up = 0;  // attempts, since the last line of the log
   std::vector<std::unique_ptr<ServerConnection>> connections;
 
   /// A command written after `span` of idleness was answered with a reset.
@@ -458,6 +459,7 @@
       }
       e.live = false;
       e.since = clock_.now();
+      ++at->second->given_up;
       // Partly written: finishing it would send the request after its end.
       if (k >= c.sent_) {
         close(c);
@@ -520,6 +522,15 @@
   }
 }
 
+std::pair<std::string, std::uint64_t> ServerSide::most_given_up() {
+  std::pair<std::string, std::uint64_t> most;
+  for (auto& [id, pool] : pools_) {
+    if (pool->given_up > most.second) most = {id, pool->given_up};
+    pool->given_up = 0;
+  }
+  return most;
+}
+
 Micros ServerSide::idle_limit() const {
   return static_cast<Micros>(kIdlePart * static_cast<double>(limits_.keepalive));
 }
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -64,6 +64,8 @@
   void flush();
   bool dirty() const { return !dirty_.empty(); }
   std::size_t connections() const { return total_; }
+  /// The server at which most attempts were given up since the last call, and how many.
+  std::pair<std::string, std::uint64_t> most_given_up();
   /// Servers of which anything is kept.
   std::size_t servers() const { return pools_.size(); }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -102,6 +102,7 @@
 // Requests that ran out of time with an attempt out, per attempt: a jammed origin leaves cores
 // idle.
 constexpr double kCalmAbandoned = 0.05;
+constexpr double kCalmFull = 0.05;  // attempts turned away as full
 // Per step, were all bad. Misses are cut fast, or the origin's queue, longer than clients wait,
 // never drains; hits slowly, as swings leave servers idle.
 constexpr double kAdmitCut = 0.3;
@@ -193,7 +194,6 @@
     bool closed = false;
     bool missed = false;  // aside mode: a cache held nothing
     bool broken = false;  // an attempt ended with its connection
-    bool erred = false;   // an attempt ended in an error
     std::vector<Attempt> attempts;
   };
   struct ClassState {
@@ -402,11 +402,7 @@
     // What a broken connection or a spoilt answer made late says nothing of load.
     if (in_time || !o.broken) ++(in_time ? d.good : d.bad);
     auto it = counts[0].find(o.name);
-    // A request that ran out of time or was turned away as full tells nothing of the key: in a jam
-    // all hot keys did, passed for keys to fetch, and were refused long after while their copies
-    // stood by. Only a failed fetch or a write says that no copy is left.
-    if (it != counts[0].end() && (answered || o.erred || o.request.write))
-      it->second.held = answered && !o.request.write;
+    if (it != counts[0].end()) it->second.held = answered && !o.request.write;
   }
 
   /// Whether a copy of the key in the own zone would pay.
@@ -601,7 +597,7 @@
   void step_shed() {
     if (now - shed_at < kShedStep) return;
     bool calm = util_mean > 0 && util_mean < kCalmUtil && errors < kCalmErrors &&
-                abandoned < kCalmAbandoned;
+                abandoned < kCalmAbandoned && full < kCalmFull;
     double limit = calm ? kShedBadCalm : kShedBad;
     for (bool held : {false, true}) {
       Door& d = doors[held];
@@ -1030,7 +1026,6 @@
       m.note_latency(s, o.cls, r.latency, false);
       break;
     case Status::Error:
-      o.erred = true;
       m.note_failure(s, 0.5, m.errors);
       break;
     case Status::ConnectFailed:
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -154,7 +154,7 @@
   expect_retry("e2");
 }
 
-// docs/incidents/rdc2826.md. The wait is too short for the module's own patience to run out first.
+// The wait is too short for the module's own patience to run out first.
 TEST_F(Spoiled, AnAnswerThatBreaksOffInSilenceIsRetriedElsewhere) {
   start(get("e9", "key", "3000"));
   link_.line();
@@ -388,7 +388,7 @@
   EXPECT_EQ(id_of(at_server.line()), "y9");  // on the same connection
 }
 
-// docs/incidents/refbcc6.md. Twelve requests at once: none waits behind another.
+// Twelve requests at once: none waits behind another.
 TEST(Router, WithinTheCapNoAttemptWaitsBehindAnother) {
   Peer server;
   ConfigText config = one_server(server);
