Servers that fail more than others do are outliers: they give up keys and shut no door

Each of its three troubles is a part of the fleet, four or five of ten servers, that fails most of what it gets and serves the rest, while the others do well: at 100 s five servers answered busy to 80 to 88% at a reported utilization of 0.1; from 110 s four others left 85% unanswered; at 215 s four answered SERVER_ERROR failed to 60 to 75% after 5 ms. The troubles last some 10 s; the doors were open 2 s after each end.

At fault, all in rules.cpp: note_success() cleared all doubt, so a server that serves one of five was never dead; note_full() and note_failure() weigh by failures over the whole fleet, which such servers make usual themselves (nothing at all past 25% full); note_end() booked their failures as load, so the doors shut over servers with time to spare, and go_on() then retried nothing.

Now a server's bad share is held against the fleet's better third.

Each new test fails without the change.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,6 +52,20 @@
 constexpr double kReturnFrom = 0.2;
 constexpr double kDoubtAll =
     0.7;  // more of the reachable servers judged dead than this: disbelieve
+// Outliers. A server may answer some requests well and fail most: errors at once, silence, refusals
+// as full over idle cores. Such a one is never dead, as each success clears its doubt, and a fleet
+// in which half do it looks as if failures were usual. So each server's bad share is held against
+// that of the fleet's better third, and what it exceeds that by costs it live part. It should cover
+// any fault that single servers have and others don't, whatever form their failures take. It could
+// hurt where a few servers bear the hottest keys at the edge of what they can do: those move and
+// miss elsewhere. Where all fail alike nobody stands out.
+constexpr double kBadGain = 0.15;           // weight of one attempt in a server's bad share
+constexpr double kBadHalf = 3.0 * kSecond;  // it fades: an outlier is seldom asked
+constexpr double kOutlierFrom = 0.3;        // excess that costs nothing yet: two failures' in a row
+constexpr double kOutlierFull = 0.6;        // excess that leaves kLiveFloor
+// Full refusals and silence are a fault only over idle cores: else those who bear the outliers'
+// part would be taken for outliers in turn, until all keys went to the last few servers.
+constexpr double kBusyUtil = 0.75;
 constexpr double kSlowAlpha = 0.25;  // weight of one latency in a server's mean log ratio
 constexpr double kSlowHalf = 8.0 * kSecond;
 constexpr double kSlowFrom = 1.8;    // latency ratio from which a server counts as slow
@@ -97,8 +111,8 @@
 // door for keys to fetch stayed shut over an idle fleet, as what it let in and was answered went
 // over to the other door.
 constexpr double kShedBadCalm = 0.5;
-constexpr double kCalmUtil = 0.75;    // mean of the reports
-constexpr double kCalmErrors = 0.02;  // per attempt
+constexpr double kCalmUtil = kBusyUtil;  // mean of the reports
+constexpr double kCalmErrors = 0.02;     // per attempt
 // Requests that ran out of time with an attempt out, per attempt: a jammed origin leaves cores
 // idle.
 constexpr double kCalmAbandoned = 0.05;
@@ -170,7 +184,10 @@
     double slow_seen = 0;    // evidence behind it
     Micros slow_at = 0;
     double load_live = 1;  // live fraction by reported load
-    double crowded = 0;    // part given up for refusals as full
+    double util = -1;      // as last reported; -1 = never
+    double bad_share = 0;  // of recent attempts, fading
+    Micros bad_at = 0;
+    double crowded = 0;  // part given up for refusals as full
     Micros crowded_at = 0;
     Micros report_at = 0;
     double cold_tokens = 0;
@@ -181,6 +198,7 @@
     int server;
     Micros sent;
     Ran ran = Ran::Out;
+    bool stalled = false;
   };
   struct Open {
     Request request;
@@ -192,8 +210,8 @@
     Micros came = 0;
     Micros deadline = 0;
     bool closed = false;
-    bool missed = false;  // aside mode: a cache held nothing
-    bool broken = false;  // an attempt ended with its connection
+    bool missed = false;   // aside mode: a cache held nothing
+    bool excused = false;  // an attempt failed in a way that says nothing of load
     std::vector<Attempt> attempts;
   };
   struct ClassState {
@@ -248,7 +266,8 @@
   // renewed by refresh()
   Micros refreshed = -1;
   double live_sum = 1, weight_sum = 1, warm_sum = 1, near_pull = 0;
-  double borne = 0;  // requests per second and weight that this router's warm servers bear
+  double usual_bad = 0;  // bad share of the fleet's better third
+  double borne = 0;      // requests per second and weight that this router's warm servers bear
   bool disbelieve = false;
   // list
   bool watching = false, asking = false;
@@ -309,7 +328,8 @@
   /// overload all act here, so each remaps only the keys of the part that is given up.
   double live(const ServerState& s) const {
     if (!usable(s)) return 0;
-    double part = warmth(s) * std::max(kLiveFloor, s.load_live * (1 - crowding(s)) * slow_part(s));
+    double part = warmth(s) * std::max(kLiveFloor, s.load_live * (1 - crowding(s)) * slow_part(s) *
+                                                       sound_part(s));
     if (!disbelieve) {
       if (now < s.dead_until) return 0;
       if (s.returned_at > 0) {
@@ -324,12 +344,19 @@
     if (refreshed >= 0 && now - refreshed < kRefresh) return;
     refreshed = now;
     double ready = 0, dead = 0, near_ready = 0, near_dead = 0;
+    std::vector<double> shares;
     for (const ServerState& s : servers) {
       if (!usable(s) || is_origin(s)) continue;
+      shares.push_back(bad_share(s));
       bool near = s.listed.zone == set.zone;
       ready += 1, near_ready += near;
       if (now < s.dead_until) dead += 1, near_dead += near;
     }
+    if (!shares.empty()) {
+      auto third = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 3);
+      std::nth_element(shares.begin(), third, shares.end());
+      usual_bad = *third;
+    }
     // A cut between zones looks like many deaths and is believed as long as the own zone answers;
     // when the servers next door look dead as well, the fault is more likely here or in the
     // judgement.
@@ -399,8 +426,10 @@
   /// How an admitted request ended.
   void note_end(const Open& o, bool answered, bool in_time) {
     Door& d = doors[o.held];
-    // What a broken connection or a spoilt answer made late says nothing of load.
-    if (in_time || !o.broken) ++(in_time ? d.good : d.bad);
+    // What a broken connection, a spoilt answer or a server at fault made late says nothing of
+    // load, nor of where the key is held.
+    if (!in_time && o.excused) return;
+    ++(in_time ? d.good : d.bad);
     auto it = counts[0].find(o.name);
     if (it != counts[0].end()) it->second.held = answered && !o.request.write;
   }
@@ -485,6 +514,21 @@
     return ratio > kSlowFrom ? kSlowFrom / ratio : 1;
   }
 
+  double bad_share(const ServerState& s) const { return s.bad_share * halved(s.bad_at, kBadHalf); }
+
+  /// How far the server fails more often than the better ones do; up to 0 where it does not.
+  double excess(const ServerState& s) const { return bad_share(s) - usual_bad - kOutlierFrom; }
+  bool outlier(const ServerState& s) const { return !is_origin(s) && excess(s) > 0; }
+  double sound_part(const ServerState& s) const {
+    return std::clamp(1 - excess(s) / (kOutlierFull - kOutlierFrom), 0.0, 1.0);
+  }
+
+  void note_bad(ServerState& s, bool bad) {
+    s.bad_share = bad_share(s);
+    s.bad_at = now;
+    s.bad_share += kBadGain * (bad - s.bad_share);
+  }
+
   void note_latency(ServerState& s, int cls, Micros latency, bool ok) {
     ClassState& c = classes[cls];
     double value = std::max<double>(1, static_cast<double>(latency));
@@ -528,8 +572,11 @@
   }
 
   /// An attempt is out far longer than usual.
-  void note_stall(ServerState& s, double weight) {
-    follow(late, true);
+  void note_stall(Attempt& a, double weight) {
+    ServerState& s = servers[a.server];
+    if (!a.stalled && s.util < kBusyUtil) note_bad(s, true);
+    a.stalled = true;
+    if (!outlier(s)) follow(late, true);
     note_failure(s, weight, late);
   }
 
@@ -540,6 +587,10 @@
   }
 
   void note_full(ServerState& s) {
+    if (s.util >= 0 && s.util < kBusyUtil) {
+      note_bad(s, true);
+      return;
+    }
     double given = crowding(s);
     s.crowded = given + (1 - given) * kFullGives * std::max(0.0, 1 - 4 * full);
     s.crowded_at = now;
@@ -552,6 +603,7 @@
       double v = report[k];
       if (!std::isfinite(v)) continue;
       if (set.report_fields[k] == ReportField::Utilization) {
+        s.util = v;
         util_mean += 0.03 * (v - util_mean);
         // Against the fleet: were all hot servers to shed, nearly every key would move and miss.
         heat = std::max(heat, (v - std::max(kHotUtil, util_mean + kHotMargin)) / (1 - kHotUtil));
@@ -798,6 +850,8 @@
   void go_on(Open& o, Status why) {
     if (o.closed || any_out(o)) return;
     bool broken = why == Status::ConnectFailed || why == Status::Reset || why == Status::Spoilt;
+    const ServerState& last = servers[o.attempts.back().server];
+    broken |= outlier(last);  // the fault is that server's alone
     double price = why == Status::Full || why == Status::ConnectFailed ? kPriceUnseen
                    : broken                                            ? kPriceBroken
                                                                        : kPriceFull;
@@ -805,10 +859,11 @@
     if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
     // A fetch that failed ends in an error, and another server would only ask the origin once more:
     // what jams it. Errors are worth a retry where they come from one server and not from others.
-    const ServerState& last = servers[o.attempts.back().server];
-    bool futile = why == Status::Error && (errors > kFutileErrors || last.doubt < kServerErrs);
+    bool futile =
+        why == Status::Error && !broken && (errors > kFutileErrors || last.doubt < kServerErrs);
     // Nor anything while requests are refused: a retry would take the place of a first try. Broken
-    // connections and spoilt answers are no sign of load, and their share is bounded by the tokens.
+    // connections, spoilt answers and servers at fault are no sign of load, and their share is
+    // bounded by the tokens.
     futile |= !broken && shedding();
     if (!futile && time_left && retry_tokens >= price) {
       retry_tokens -= price;
@@ -846,7 +901,7 @@
     s.present = e.health != Health::Gone;
     if (restarted && s.present) {  // a new process: what was held against the old one is void
       s.doubt = 0, s.strikes = 0, s.dead_until = 0, s.returned_at = 0;
-      s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0;
+      s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0, s.bad_share = 0;
       s.cold_tokens = random(), s.cold_at = now;
     }
   }
@@ -1002,13 +1057,25 @@
                r.status == Status::Moot || r.status == Status::Miss;
   a.ran = never ? Impl::Ran::Never : Impl::Ran::Maybe;
   m.note_report(s, r.report);
-  follow(m.errors, r.status == Status::Error);
-  if (r.status == Status::Ok || r.status == Status::Timeout)
-    follow(m.late, r.status == Status::Timeout);
-  follow(m.full, r.status == Status::Full);
-  if (r.status != Status::Cancelled) follow(m.abandoned, false);
-  follow(m.spoilt, r.status == Status::Spoilt);
-  follow(m.unreachable, r.status == Status::ConnectFailed || r.status == Status::Reset);
+  // Fullness and silence are judged by what the server's cores do.
+  if (r.status == Status::Full)
+    m.note_full(s);
+  else if (r.status == Status::Timeout)
+    m.note_stall(a, 1);
+  else if (r.status != Status::Cancelled && r.status != Status::Moot && !a.stalled)
+    m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss);
+  bool broke =
+      r.status == Status::ConnectFailed || r.status == Status::Reset || r.status == Status::Spoilt;
+  if (r.status != Status::Ok) o.excused = broke || m.outlier(s);
+  // An outlier's failures tell nothing of the fleet.
+  if (r.status == Status::Ok || !m.outlier(s)) {
+    follow(m.errors, r.status == Status::Error);
+    if (r.status == Status::Ok) follow(m.late, false);
+    follow(m.full, r.status == Status::Full);
+    if (r.status != Status::Cancelled) follow(m.abandoned, false);
+    follow(m.spoilt, r.status == Status::Spoilt);
+    follow(m.unreachable, r.status == Status::ConnectFailed || r.status == Status::Reset);
+  }
   switch (r.status) {
     case Status::Ok:
       m.note_success(s);
@@ -1018,11 +1085,7 @@
       m.note_success(s);
       o.missed = true;
       break;
-    case Status::Full:  // overloaded, not dead
-      m.note_full(s);
-      break;
     case Status::Timeout:
-      m.note_failure(s, 1, m.late);
       m.note_latency(s, o.cls, r.latency, false);
       break;
     case Status::Error:
@@ -1030,13 +1093,12 @@
       break;
     case Status::ConnectFailed:
     case Status::Reset:
-      o.broken = true;
       m.note_failure(s, 1, m.unreachable);
       break;
     case Status::Spoilt:  // it does answer: worth less than silence, and little where all do it
-      o.broken = true;
       m.note_failure(s, 0.5, m.spoilt);
       break;
+    case Status::Full:  // overloaded or at fault, not dead
     case Status::Cancelled:
     case Status::Moot:
       break;
@@ -1081,14 +1143,17 @@
   if (it == m.open.end() || it->second.closed) return {};
   Impl::Open& o = it->second;
   if (kind == kDeadlineTimer) {
-    if (m.any_out(o)) follow(m.abandoned, true);
-    for (const Impl::Attempt& a : o.attempts)
-      if (a.ran == Impl::Ran::Out && m.now - a.sent > m.patience(o))
-        m.note_stall(m.servers[a.server], 1);
+    bool load = m.any_out(o);
+    for (Impl::Attempt& a : o.attempts) {
+      if (a.ran != Impl::Ran::Out) continue;
+      if (m.now - a.sent > m.patience(o)) m.note_stall(a, 1);
+      if (m.outlier(m.servers[a.server])) load = false, o.excused = true;
+    }
+    if (load) follow(m.abandoned, true);
     m.finish(o);
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
              m.now - o.attempts.back().sent >= m.patience(o) / 2) {
-    m.note_stall(m.servers[o.attempts.back().server], 0.5);
+    m.note_stall(o.attempts.back(), 0.5);
     if (m.copy_tokens >= 1 && !m.shedding()) {
       m.copy_tokens -= 1;
       m.send(o);
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -138,6 +139,56 @@
   return 0;
 }
 
+/// A cache server on a thread of its own that answers each read line with what `answer` makes of
+/// it.
+class ServingPeer {
+ public:
+  explicit ServingPeer(std::function<std::string(const std::string&)> answer) {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) ADD_FAILURE() << "pipe";
+    end_ = Fd(ends[1]);
+    address_ = peer_.address();
+    thread_ = std::thread([this, answer = std::move(answer), in = ends[0]] {
+      Fd end(in);
+      std::vector<std::pair<Fd, std::string>> links;
+      while (true) {
+        std::vector<pollfd> fds{{end.get(), POLLIN, 0}, {peer_.fd(), POLLIN, 0}};
+        for (auto& [fd, unread] : links) fds.push_back({fd.get(), POLLIN, 0});
+        ::poll(fds.data(), fds.size(), -1);
+        if (fds[0].revents) return;
+        for (std::size_t k = links.size(); k-- > 0;) {
+          if (!fds[k + 2].revents) continue;
+          auto& [fd, unread] = links[k];
+          char data[4096];
+          ssize_t got = ::recv(fd.get(), data, sizeof data, 0);
+          if (got <= 0) {
+            links.erase(links.begin() + static_cast<std::ptrdiff_t>(k));
+            continue;
+          }
+          unread.append(data, static_cast<std::size_t>(got));
+          for (std::size_t at; (at = unread.find('\n')) != unread.npos; unread.erase(0, at + 1)) {
+            std::string text = answer(unread.substr(0, at + 1));
+            ::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL);
+          }
+        }
+        if (fds[1].revents)
+          links.emplace_back(Fd(::accept4(peer_.fd(), nullptr, nullptr, SOCK_CLOEXEC)), "");
+      }
+    });
+  }
+  ~ServingPeer() {
+    end_.reset();
+    thread_.join();
+  }
+  const std::string& address() const { return address_; }
+
+ private:
+  Peer peer_;
+  std::string address_;
+  Fd end_;
+  std::thread thread_;
+};
+
 inline std::string host_json(const std::string& id, const std::string& dial,
                              const std::string& health = "active", long long born_ms = 0) {
   return R"({"host":")" + id + R"(","dial":")" + dial +
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1,4 +1,6 @@
 // The router over loopback sockets, between scripted clients, cache servers and discovery.
+#include <atomic>
+
 #include "loopback.hpp"
 
 namespace arrowfork::test {
@@ -650,6 +652,40 @@
   EXPECT_TRUE(ended);
 }
 
+/// Two good servers and one that answers a fifth of what it gets, the rest with `failure`.
+void expect_an_outlier_is_avoided(const std::string& failure) {
+  std::atomic<int> asked{0};
+  const std::string load = " Lload_share=0.2,mean_ms=4,x0=0.9";
+  auto good = [&](const std::string& line) { return value_answer(id_of(line), "v", load); };
+  ServingPeer first(good), second(good), bad([&](const std::string&line) {
+    return ++asked % 5 == 0 ? good(line) : failure + load + "\r\n";
+  });
+  ConfigText c;
+  c.hosts = {host_json("s-1", first.address()), host_json("s-2", second.address()),
+             host_json("s-3", bad.address())};
+  RunningRouter router(c);
+  Link client = router.client();
+  int unserved = 0;
+  for (int k = 0; k < 600; ++k) {
+    if (k == 300) asked = 0, unserved = 0;
+    client.write(get("o" + std::to_string(k), "key" + std::to_string(k)));
+    if (client.line().substr(0, 2) == "VA")
+      client.line();
+    else
+      ++unserved;
+  }
+  EXPECT_LT(asked, 60) << failure;  // of some 100 that would be its part
+  EXPECT_GT(asked, 0) << failure;   // it is still seen
+  EXPECT_LE(unserved, 3) << failure;
+}
+
+// Guards against: half a server's answers taken for health and its failures for the fleet's load.
+// Each success cleared all doubt of it, its errors were not retried, and the doors shut for it.
+TEST(Router, AServerThatFailsMostRequestsIsAvoidedWhateverItSays) {
+  expect_an_outlier_is_avoided("SERVER_ERROR busy");
+  expect_an_outlier_is_avoided("SERVER_ERROR failed");
+}
+
 // A jam leaves attempts that nobody waits for any more, each on a connection that is not idle.
 TEST(ServerSide, ConnectionsOnlyAbandonedAttemptsWaitOnMakeRoom) {
   Peer server;
