Refusals name when to come back, by how far the door is shut

Tills repeated a refused request up to 3.3 times within the trouble, by the same key at the same door. Now each names the time that the door takes to open where nothing more ends badly, spread over half of it. Whether clients act on it is theirs; the protocol lets every refusal say it, so the setting is not read any more.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -81,12 +81,11 @@
   bool may_cancel = false;
   bool may_probe = false;
   bool second_copies = false;  ///< a request may have two attempts out together
-  bool retry_after = false;    ///< clients are told Refuse::wait
   bool worth_by_work = false;
   bool weights_listed = false;  ///< Server::weight carries a size
   int max_attempts = 1;
-  Micros max_retry_after = 0;
-  Micros tick = 1000;  ///< the shortest time between two calls' actions taking effect
+  Micros max_retry_after = 0;  ///< the longest Refuse::wait
+  Micros tick = 1000;          ///< the shortest time between two calls' actions taking effect
   double cross_zone_charge = 0;
   double waste_charge = 0;
   double late_fail_charge = 0;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -131,6 +131,9 @@
 constexpr int kWantedSeen = 3;       // a key seen this often lately is likely held
 constexpr double kAdmitGrow = 0.25;  // of what is admitted, per step, when nothing ends badly
 constexpr double kAdmitMin = 0.03;
+// What a refusal tells the client to wait where the door is open, so that the retry budget has
+// something to give again.
+constexpr Micros kComeBack = kShedStep / 5;
 constexpr double kShedLeast = 0.4;  // the most and least worthy are refused at these multiples
 constexpr double kShedMost = 1.4;
 // List: how long after the start the first call may come, as part of ask_within, so that routers
@@ -762,12 +765,22 @@
     out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
   }
 
+  /// How long a client is told to stay away: as long as the door takes to open where nothing more
+  /// ends badly, spread over half of that, or those refused together would come back together.
+  /// Tills that ask at once meet the same door: a refusal goes by the key.
+  Micros come_back(const Open& o) const {
+    double steps = -std::log(1 - doors[o.held].shed) / std::log(1 + kAdmitGrow);
+    double wait = static_cast<double>(kComeBack) + steps * static_cast<double>(kShedStep);
+    wait = std::min(wait, static_cast<double>(set.max_retry_after));
+    return static_cast<Micros>(wait * (1 - 0.5 * depth_of(mix(o.request.id))));
+  }
+
   void finish(Open& o) {
     if (o.closed) return;
     o.closed = true;
     if (!o.attempts.empty()) ++given_up, note_end(o, false, false);
     if (may_refuse(o))
-      out.push_back(Refuse{o.request.id, set.retry_after ? set.max_retry_after / 4 : 0});
+      out.push_back(Refuse{o.request.id, come_back(o)});
     else
       out.push_back(Fail{o.request.id});
     cancel_rest(o);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -465,6 +465,28 @@
   for (int k = 0; k < 6; ++k) EXPECT_GT(b.live_fraction(server_id(k)), 0.7);
 }
 
+// Protects against: refusals that name no time, or all the same, whose clients come back together.
+TEST(Admission, RefusalsNameWhenTheDoorMayBeOpenSpreadOut) {
+  Settings s = basic_settings();
+  s.max_retry_after = kS;
+  Balancer b(s, 7, 0);
+  EXPECT_LE(all<Refuse>(b.on_request(0, read_of(1, "k"))).at(0).wait, 50 * kMs);  // no door shut
+  b.on_list(0, ListScope::Full, fleet(6));
+  std::set<Micros> waits;
+  for (RequestId id = 2; id < 1200; ++id) {
+    Micros now = Micros(id) * 10 * kMs;
+    Actions a = b.on_request(now, read_of(id, "k" + std::to_string(id)));
+    if (std::string server = sent_to(a); !server.empty())
+      b.on_outcome(now, ended(id, server, Status::Error));
+    else if (id > 600)
+      waits.insert(all<Refuse>(a).at(0).wait);
+  }
+  ASSERT_GT(waits.size(), 200u);
+  EXPECT_GT(*waits.begin(), 100 * kMs);
+  EXPECT_GT(*waits.rbegin(), *waits.begin() * 3 / 2);
+  EXPECT_LE(*waits.rbegin(), kS);
+}
+
 // Protects against: hits refused along with misses while only the origin is jammed.
 TEST(Admission, KeysAnsweredLatelyPassWhileOthersFail) {
   Balancer b(basic_settings(), 7, 0);
