--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -222,7 +222,6 @@
     bool closed = false;
     bool missed = false;   // aside mode: a cache held nothing
     bool excused = false;  // an attempt failed in a way that says nothing of load
-    bool loaded = false;   // one did in a way that does
     std::vector<Attempt> attempts;
   };
   struct ClassState {
@@ -439,7 +438,7 @@
     Door& d = doors[o.held];
     // What a broken connection, a spoilt answer or a server at fault made late says nothing of
     // load, nor of where the key is held.
-    if (!in_time && o.excused && !o.loaded) return;
+    if (!in_time && o.excused) return;
     ++(in_time ? d.good : d.bad);
     auto it = counts[0].find(o.name);
     if (it != counts[0].end()) it->second.held = answered && !o.request.write;
@@ -1086,7 +1085,7 @@
     m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss);
   bool broke =
       r.status == Status::ConnectFailed || r.status == Status::Reset || r.status == Status::Spoilt;
-  if (r.status != Status::Ok) (broke || m.outlier(s) ? o.excused : o.loaded) = true;
+  if (r.status != Status::Ok) o.excused |= broke || m.outlier(s);
   // An outlier's failures tell nothing of the fleet.
   if (r.status == Status::Ok || !m.outlier(s)) {
     follow(m.errors, r.status == Status::Error);
