--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -129,6 +129,7 @@
   std::optional<Micros> work;  ///< expected work, as time on a standard core
   bool repeat = false;
   bool write = false;
+  bool unkeyed = false;  ///< bears no idempotency key: in a Keyed class it is treated as Once
 };
 
 enum class Status {
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,66 @@
+#include "serve.hpp"
+
+#include <csignal>
+#include <cstdio>
+
+#include "../net/router.hpp"
+
+namespace arrowfork {
+namespace {
+
+int complain(const std::string& what) {
+  std::fprintf(stderr, "arrowfork: %s\n", what.c_str());
+  return 1;
+}
+
+struct Served {
+  Router& router;
+  const std::function<Config()>& load;
+};
+
+/// SIGHUP. A file that can't be used, half-written or gone, leaves everything as it is.
+void reload(Served& served) {
+  try {
+    served.router.reload(served.load());
+  } catch (const std::exception& e) {
+    complain(std::string("reload: old configuration kept: ") + e.what());
+  }
+}
+
+}  // namespace
+
+int serve(const std::function<Config()>& load) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
+  try {
+    Config config = load();
+    if (!parse_address(config.discovery))
+      return complain("discovery: no address: '" + config.discovery + "'");
+    std::unique_ptr<event_config, void (*)(event_config*)> options(event_config_new(),
+                                                                   event_config_free);
+    event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    EventBasePtr base(event_base_new_with_config(options.get()));
+    if (!base) return complain("no event base");
+    Clock clock;
+    Router router(base.get(), config, clock);
+    std::string error;
+    if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
+    auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
+    EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
+    EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
+    event_add(term.get(), nullptr);
+    event_add(interrupt.get(), nullptr);
+    Served served{router, load};
+    auto on_reload = [](evutil_socket_t, short, void* s) { reload(*static_cast<Served*>(s)); };
+    EventPtr hangup(evsignal_new(base.get(), SIGHUP, on_reload, &served));
+    event_add(hangup.get(), nullptr);
+    std::fprintf(stderr, "arrowfork: %s listens on %s\n", config.name.c_str(),
+                 config.listen.c_str());
+    router.run();
+    return 0;
+  } catch (const std::exception& e) {
+    return complain(e.what());
+  }
+}
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/core/core.hpp
@@ -0,0 +1,194 @@
+// The table of open requests: their attempts, deadlines and replies, and the only caller of the
+// decision module. Knows no protocol and no socket: requests come from any front, attempts go out
+// through whatever carries them, time and randomness are handed in.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <queue>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "../io/clock.hpp"
+#include "request.hpp"
+
+namespace arrowfork {
+
+/// Where a request's reply goes. Called once, unless gone() was called before.
+class ReplySink {
+ public:
+  virtual void on_reply(const Request& request, Reply&& reply) = 0;
+
+ protected:
+  ~ReplySink() = default;
+};
+
+/// Carries attempts out. For each send() it calls Core::attempt_ended once, perhaps before send()
+/// returns, unless the attempt was cancelled.
+class Carrier {
+ public:
+  /// `wait`: until the router stops waiting.
+  virtual void send(const std::string& server, RequestId id, int attempt, const Request& request,
+                    Micros wait) = 0;
+  /// Gives an attempt up: Moot where the server has nothing of it, Cancelled where it may have run.
+  virtual Status cancel(const std::string& server, RequestId id, int attempt) = 0;
+
+ protected:
+  ~Carrier() = default;
+};
+
+/// Where the list of servers is asked for; what comes is told by Core::list.
+class Lister {
+ public:
+  virtual void watch() = 0;
+  virtual void fetch() = 0;
+
+ protected:
+  ~Lister() = default;
+};
+
+/// Sees each call on the module with what it answered, in order. For tests and captures.
+class SeamTap {
+ public:
+  virtual void on_call(Micros now, const char* call, RequestId id,
+                       const robinseam::Actions& actions) = 0;
+
+ protected:
+  ~SeamTap() = default;
+};
+
+class Core {
+ public:
+  /// Throws std::invalid_argument naming the setting that can't be used. `clock` and `lister` must
+  /// outlive the core. At most `max_open` requests are open at once.
+  Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
+       Lister& lister, std::size_t max_open);
+
+  /// Call once: begins with the list as last held.
+  void start(std::vector<robinseam::Server> known);
+
+  enum class Taken {
+    Yes,
+    BadClass,  ///< no such class, or a read of a class whose writes bear keys
+    IdInUse,   ///< a client has this id open, or had it a moment ago
+    Busy,      ///< the table is full; refused before the module has seen it
+  };
+  /// Takes a request; `id` names it from here on. `sink` and `carrier` are called until it has
+  /// ended; `sink` not after gone(). The module hears of it in the next turn().
+  Taken take(Request&& request, ReplySink& sink, Carrier& carrier, RequestId& id);
+  /// The client sends no more but may still read: nothing new is sent for it, what is out is waited
+  /// for.
+  void left(RequestId id);
+  /// Nobody is left to get the reply.
+  void gone(RequestId id);
+  void attempt_ended(RequestId id, int attempt, Status status, AttemptResult&& result);
+  void list(robinseam::ListScope scope, std::vector<robinseam::Server> servers);
+
+  /// Rings the timers that are due and tells the module what has happened, until nothing is left.
+  void turn();
+  /// True when a turn() has something to do now.
+  bool pending() const { return !events_.empty(); }
+  /// When turn() must be called at the latest; 0: no timer is set.
+  Micros next_timer() const { return timers_.empty() ? 0 : timers_.top().at; }
+
+  const robinseam::ClassSettings* class_of(const std::string& name) const;
+  Micros longest_deadline() const { return longest_deadline_; }
+  std::size_t open_requests() const { return open_.size(); }
+  struct Counts {
+    std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0, hits = 0, misses = 0;
+    std::array<std::uint64_t, 10> outcomes{};  ///< by Status
+  };
+  const Counts& counts() const { return counts_; }
+  robinseam::Balancer::Stats module_stats() const { return balancer_.stats(); }
+  void set_tap(SeamTap* tap) { tap_ = tap; }
+
+ private:
+  struct Attempt {
+    std::string server;
+    Micros sent = 0;
+    bool out = true;      // its outcome has not been told to the module
+    bool carried = true;  // its carrier still owes it an end
+  };
+  struct Open {
+    ReplySink* sink = nullptr;  // none once the client is gone or has its reply
+    Carrier* carrier = nullptr;
+    Request request;
+    Micros deadline = 0;
+    bool answered = false;  // the final answer is given, or nobody is left to get one
+    bool left = false;      // the client sends no more: nothing new is sent for it
+    bool missed = false;    // the last attempt ended in a miss
+    int untold = 0;         // outcomes on their way to the module
+    std::vector<Attempt> attempts;
+  };
+  // What waits for its turn to be told to the module.
+  struct OutcomeEvent {
+    robinseam::Outcome outcome;
+  };
+  struct RequestEvent {
+    RequestId id;
+  };
+  struct GoneEvent {
+    RequestId id;
+  };
+  struct ListEvent {
+    robinseam::ListScope scope;
+    std::vector<robinseam::Server> servers;
+  };
+  struct TimerEvent {
+    std::uint64_t token;
+  };
+  using Event = std::variant<OutcomeEvent, RequestEvent, GoneEvent, ListEvent, TimerEvent>;
+
+  enum class Due { Module, Expiry };
+  struct Timer {
+    Micros at;
+    std::uint64_t order;  // first set, first rung
+    Due due;
+    std::uint64_t token;  // the module's, or a request id
+    int attempt;
+    bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+
+  void ring();
+  void settle();
+  void set_timer(Micros at, Due due, std::uint64_t token, int attempt = 0);
+  void perform(const char* call, RequestId id, Micros now, const robinseam::Actions& actions);
+  void act(const robinseam::Send& a);
+  void act(const robinseam::Refuse& a);
+  void act(const robinseam::Fail& a);
+  void act(const robinseam::Cancel& a);
+  void act(const robinseam::Watch&) { lister_.watch(); }
+  void act(const robinseam::Fetch&) { lister_.fetch(); }
+  void act(const robinseam::Timer& a);
+  void act(const robinseam::Probe&) {}  // the module probes nothing; no site allows it
+  void expire(RequestId id, int attempt);
+  std::string make_id();
+  bool id_taken(const std::string& id) const;
+  void note_id(const std::string& id);
+  void give_reply(Open& open, Reply&& reply);
+  void tell_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result);
+  void forget_if_done(RequestId id);
+
+  const TimeSource& clock_;
+  Lister& lister_;
+  std::vector<robinseam::ClassSettings> classes_;
+  bool aside_;
+  Micros longest_deadline_;
+  robinseam::Balancer balancer_;
+  std::unordered_map<RequestId, Open> open_;
+  RequestId next_id_ = 1;
+  std::uint64_t id_seed_;
+  // Ids of the last one to two spans of the longest deadline; those of open requests are among them.
+  std::array<std::unordered_set<std::string>, 2> ids_;
+  Micros ids_since_ = 0;
+  std::size_t max_open_;
+  std::deque<Event> events_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
+  std::uint64_t timer_order_ = 0;
+  Counts counts_;
+  SeamTap* tap_ = nullptr;
+};
+
+}  // namespace arrowfork
--- /dev/null
+++ b/src/net/client_codec.cpp
@@ -0,0 +1,209 @@
+#include "client_codec.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace arrowfork {
+namespace {
+
+const char* const kVersion = "wheeldeal " ARROWFORK_VERSION;
+
+/// Milliseconds, rounded up.
+std::string millis_text(Micros span) {
+  return std::to_string((span + kMillisecond - 1) / kMillisecond);
+}
+
+std::string busy_text(Micros come_back) {
+  return come_back > 0 ? "busy " + millis_text(come_back) : "busy";
+}
+
+}  // namespace
+
+std::uint64_t cas_of(std::string_view receipt) {
+  std::uint64_t cas = 0;
+  const char* end = receipt.data() + receipt.size();
+  auto [stop, error] = std::from_chars(receipt.data(), end, cas, 16);
+  return error == std::errc() && stop == end ? cas : 0;
+}
+
+std::string receipt_of(std::uint64_t cas) {
+  constexpr char kHex[] = "0123456789abcdef";
+  std::string text(16, '0');
+  for (char& c : text) c = kHex[cas >> 60], cas <<= 4;
+  return text;
+}
+
+// ---- meta ----
+
+/// What a client's bytes are taken for is decided in meta.hpp; here what only the settings can
+/// tell. Nothing that fails either is passed on: a cache server may close the connection for it,
+/// and others wait on that.
+ClientCodec::Got MetaClientCodec::take(std::string_view& in, Taken& taken) {
+  Command command;
+  switch (reader_.take(in, command)) {
+    case CommandReader::Got::Nothing:
+      return Got::Nothing;
+    case CommandReader::Got::Noop:
+      taken.answer = "MN\r\n";
+      return Got::Answer;
+    case CommandReader::Got::Unknown:
+      taken.answer = "ERROR\r\n";
+      return Got::Answer;
+    case CommandReader::Got::Bad:
+      taken.answer = "CLIENT_ERROR bad command\r\n";
+      return Got::Answer;
+    case CommandReader::Got::Broken:
+      taken.answer = "CLIENT_ERROR bad framing\r\n";
+      return Got::Last;
+    case CommandReader::Got::Command:
+      break;
+  }
+  const robinseam::ClassSettings* type = core_.class_of(command.type);
+  if (type && type->effect == robinseam::Effect::Keyed && command.idempotency.empty()) {
+    taken.answer = not_taken({}, Core::Taken::BadClass);
+    return Got::Answer;
+  }
+  Request& r = taken.request;
+  r = Request();
+  r.write = command.set;
+  r.key = std::move(command.key);
+  r.id = std::move(command.id);
+  r.type = std::move(command.type);
+  r.tenant = std::move(command.tenant);
+  r.idempotency = std::move(command.idempotency);
+  r.patience = static_cast<Micros>(command.wait_ms * kMillisecond);
+  r.work = command.work;
+  r.repeat = command.repeat;
+  r.value = std::move(command.value);
+  r.flags = command.flags;
+  r.wants_flags = command.wants_flags;
+  r.line_before_wait = std::move(command.before_d);
+  r.line_after_wait = std::move(command.after_d);
+  return Got::Request;
+}
+
+std::string MetaClientCodec::not_taken(const CommandTag&, Core::Taken why) const {
+  switch (why) {
+    case Core::Taken::BadClass:
+      return "CLIENT_ERROR bad class\r\n";
+    case Core::Taken::IdInUse:
+      return "CLIENT_ERROR id in use\r\n";
+    default:
+      return "SERVER_ERROR busy\r\n";
+  }
+}
+
+std::string MetaClientCodec::reply(const CommandTag&, const Request& request,
+                                   Reply&& reply) const {
+  if (reply.kind == Reply::Kind::Failed) return "SERVER_ERROR failed\r\n";
+  if (reply.kind == Reply::Kind::Refused)
+    return "SERVER_ERROR " + busy_text(reply.come_back) + "\r\n";
+  if (request.write) return "HD O" + request.id + " c" + reply.receipt + "\r\n";
+  std::string text = "VA " + std::to_string(reply.value.size());
+  if (request.wants_flags) text += " f" + std::to_string(reply.flags);
+  text.reserve(text.size() + request.id.size() + reply.value.size() + 8);
+  text.append(" O").append(request.id).append("\r\n").append(reply.value).append("\r\n");
+  return text;
+}
+
+// ---- binary ----
+
+ClientCodec::Got BinaryClientCodec::take(std::string_view& in, Taken& taken) {
+  binary::Command command;
+  auto got = reader_.take(in, command);
+  if (got == binary::CommandReader::Got::Nothing) return Got::Nothing;
+  taken.tag = {command.opcode, command.opaque};
+  barrier_due_ = got == binary::CommandReader::Got::Command && binary::is_quiet(command.opcode);
+  if (got != binary::CommandReader::Got::Command) {
+    taken.answer = binary::response(command.opcode, reader_.refused(), command.opaque);
+    return got == binary::CommandReader::Got::Broken ? Got::Last : Got::Answer;
+  }
+  if (binary::is_read(command.opcode) || binary::is_write(command.opcode))
+    return take_request(command, taken);
+  taken.answer.clear();
+  switch (command.opcode) {
+    case binary::Opcode::QuitQ:
+      return Got::Last;
+    case binary::Opcode::Quit:
+      taken.answer = binary::response(command.opcode, binary::status::kOk, command.opaque);
+      return Got::Last;
+    case binary::Opcode::Stat:
+      taken.answer = stats(command);
+      return Got::Answer;
+    case binary::Opcode::Version:
+      taken.answer =
+          binary::response(command.opcode, binary::status::kOk, command.opaque, kVersion);
+      return Got::Answer;
+    default:
+      taken.answer = binary::response(command.opcode, binary::status::kOk, command.opaque);
+      return Got::Answer;
+  }
+}
+
+ClientCodec::Got BinaryClientCodec::take_request(binary::Command& command, Taken& taken) const {
+  auto refuse = [&](std::uint16_t status, const char* why) {
+    taken.answer = binary::response(command.opcode, status, command.opaque, why);
+    return Got::Answer;
+  };
+  // Keys go on to servers of either protocol, and in meta lines a space or a line end would begin
+  // something else.
+  if (!std::all_of(command.key.begin(), command.key.end(),
+                   [](unsigned char c) { return c > 32 && c < 127; }))
+    return refuse(binary::status::kInvalid, "key: not printable");
+  bool write = binary::is_write(command.opcode);
+  // Taken as a plain SET, a compare-and-swap would overwrite what it is meant to spare.
+  if (command.cas != 0 && !(write && rules_.cas_is_idempotency_key))
+    return refuse(binary::status::kNotSupported, "cas: not supported");
+  Request& r = taken.request;
+  r = Request();
+  r.write = write;
+  r.tenant = rules_.tenant_of(command.key);
+  r.key = std::move(command.key);
+  r.type = write ? rules_.write_type : rules_.read_type;
+  r.patience = write ? rules_.write_patience : rules_.read_patience;
+  r.wants_flags = !write;
+  if (write) {
+    if (command.cas != 0) r.idempotency = receipt_of(command.cas);
+    r.flags = command.flags;
+    r.expiry = command.expiry;
+    r.value = std::make_shared<const std::string>(std::move(command.value));
+  }
+  return Got::Request;
+}
+
+std::string BinaryClientCodec::stats(const binary::Command& command) const {
+  if (!command.key.empty())
+    return binary::response(command.opcode, binary::status::kNotFound, command.opaque,
+                            "no such statistics");
+  std::string text;
+  for (const auto& [name, value] : stats_()) text += binary::stat(command.opaque, name, value);
+  return text + binary::stat(command.opaque, {}, {});
+}
+
+std::string BinaryClientCodec::not_taken(const CommandTag& tag, Core::Taken why) const {
+  // Ids are the router's own here; a class that the settings don't have is a reload's doing.
+  bool busy = why != Core::Taken::BadClass;
+  return binary::response(tag.opcode, busy ? binary::status::kBusy : binary::status::kInternal,
+                          tag.opaque, busy ? "busy" : "bad class");
+}
+
+std::string BinaryClientCodec::reply(const CommandTag& tag, const Request& request,
+                                     Reply&& reply) const {
+  if (reply.kind == Reply::Kind::Refused)
+    return binary::response(tag.opcode, binary::status::kBusy, tag.opaque,
+                            busy_text(reply.come_back));
+  if (reply.kind == Reply::Kind::Failed && reply.missed && !request.write)
+    return binary::is_quiet(tag.opcode)
+               ? std::string()
+               : binary::response(tag.opcode, binary::status::kNotFound, tag.opaque, "not found");
+  if (reply.kind == Reply::Kind::Failed)
+    return binary::response(tag.opcode, binary::status::kInternal, tag.opaque, "failed");
+  if (!request.write)
+    return binary::response(tag.opcode, binary::status::kOk, tag.opaque, reply.value, request.key,
+                            reply.flags);
+  if (binary::is_quiet(tag.opcode)) return {};
+  return binary::response(tag.opcode, binary::status::kOk, tag.opaque, {}, {}, 0,
+                          cas_of(reply.receipt));
+}
+
+}  // namespace arrowfork
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -56,8 +56,12 @@
     if (what & EV_READ) c->read();
   }
 
-  bool idle() const { return slots_.empty() && out_.empty() && !in_command(); }
-  bool in_command() const { return reader_.in_command() || !held_.empty(); }
+  bool at_rest() const { return slots_.empty() && out_.empty() && !in_command(); }
+  bool idle() const { return at_rest() && between_requests(); }
+  bool in_command() const { return (codec_ && codec_->in_command()) || !held_.empty(); }
+
+  /// Quiet commands that were taken owe the client the answer to the one that ends them.
+  bool between_requests() const { return !in_command() && !(codec_ && codec_->barrier_due()); }
 
   void read() {
     ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kScratch, 0);
@@ -88,42 +92,48 @@
     update_reading();
   }
 
+  /// The first byte tells; the connection keeps what it said.
+  void choose_codec(unsigned char first) {
+    if (side_.rules_.clients && first == binary::kRequestMagic) {
+      ++side_.counts_.binary;
+      codec_ = std::make_unique<BinaryClientCodec>(side_.rules_, side_.stats_);
+    } else {
+      ++side_.counts_.meta;
+      codec_ = std::make_unique<MetaClientCodec>(side_.core_, side_.rules_.any());
+    }
+  }
+
   /// Handles the commands in `in` and consumes them, until a budget is used up.
   void parse(std::string_view& in) {
+    if (!codec_ && !in.empty()) choose_codec(static_cast<unsigned char>(in.front()));
+    ClientCodec::Taken taken;
     while (!broken_ && !closed_ && !in.empty() && may_take()) {
-      Command command;
-      auto got = reader_.take(in, command);
-      if (got == CommandReader::Got::Nothing) break;
+      auto got = codec_->take(in, taken);
+      if (got == ClientCodec::Got::Nothing) break;
       since_ = side_.clock_.now();  // the next one begins
       ClientSlot& slot = add_slot();
-      switch (got) {
-        case CommandReader::Got::Command:
-          slot.bytes = command.before_d.size() + command.after_d.size() +
-                       (command.value ? command.value->size() : 0);
-          hold_more(slot.bytes);
-          if (over_limit_)
-            side_.answer(slot, "SERVER_ERROR busy\r\n");
-          else
-            side_.handler_.on_command(slot, std::move(command));
-          break;
-        case CommandReader::Got::Noop:
-          side_.answer(slot, "MN\r\n");
-          break;
-        case CommandReader::Got::Unknown:
-          side_.answer(slot, "ERROR\r\n");
-          break;
-        case CommandReader::Got::Bad:
-          side_.answer(slot, "CLIENT_ERROR bad command\r\n");
-          break;
-        default:
-          side_.answer(slot, "CLIENT_ERROR bad framing\r\n");
-          broken_ = true;
-          break;
+      slot.tag = taken.tag;
+      if (got == ClientCodec::Got::Request) {
+        take(slot, std::move(taken.request));
+        continue;
       }
+      broken_ = got == ClientCodec::Got::Last;
+      side_.answer(slot, std::move(taken.answer));
     }
     if (broken_) in = {};
   }
 
+  void take(ClientSlot& slot, Request&& request) {
+    slot.bytes = request.line_before_wait.size() + request.line_after_wait.size() +
+                 (request.value ? request.value->size() : 0);
+    if (request.line_before_wait.empty()) slot.bytes += binary::kHeader + request.key.size();
+    hold_more(slot.bytes);
+    Core::Taken taken = over_limit_ ? Core::Taken::Busy
+                                    : side_.core_.take(std::move(request), slot, side_.carrier_,
+                                                       slot.id);
+    if (taken != Core::Taken::Yes) side_.answer(slot, codec_->not_taken(slot.tag, taken));
+  }
+
   /// Back-pressure: what a client has under way is bounded, for itself and for all together. One
   /// with nothing under way is always read, so that none waits for others for good.
   bool may_take() const {
@@ -158,7 +168,7 @@
       return;
     }
     for (ClientSlot& slot : slots_)
-      if (slot.id && !slot.done) side_.handler_.on_left(slot.id);
+      if (slot.id && !slot.done) side_.core_.left(slot.id);
   }
 
   ClientSlot& add_slot() {
@@ -203,7 +213,7 @@
       out_at_ = 0;
     }
     if (out_.empty() && slots_.empty() &&
-        (eof_ || broken_ || over_limit_ || (side_.draining_ && !in_command()))) {
+        (eof_ || broken_ || over_limit_ || (side_.draining_ && between_requests()))) {
       finish();
       return;
     }
@@ -236,7 +246,7 @@
     if (!held_.empty()) parse_held();  // others may have made room in the common budget
     update_reading();
     Micros most = lingering_         ? kLingerTime
-                  : idle() && asked_ ? kIdleTime
+                  : at_rest() && asked_ ? kIdleTime
                   : slots_.empty()   ? kCommandTime
                                      : Micros{0};
     if ((most > 0 && out_.empty() && now - since_ > most) ||
@@ -247,7 +257,7 @@
   ClientSide& side_;
   Fd fd_;
   EventPtr read_, write_;
-  CommandReader reader_;
+  std::unique_ptr<ClientCodec> codec_;  // none before the first byte
   std::deque<ClientSlot> slots_;
   std::string held_;  // bytes read that must wait to be parsed
   std::string out_;
@@ -268,10 +278,16 @@
   std::size_t index_ = 0;  // in ClientSide::connections_
 };
 
-ClientSide::ClientSide(event_base* base, const Clock& clock, Handler& handler, Limits limits)
+void ClientSlot::on_reply(const Request& request, Reply&& reply) {
+  connection->side_.answer(*this, connection->codec_->reply(tag, request, std::move(reply)));
+}
+
+ClientSide::ClientSide(event_base* base, const TimeSource& clock, Core& core, Carrier& carrier,
+                       Limits limits)
     : base_(base),
       clock_(clock),
-      handler_(handler),
+      core_(core),
+      carrier_(carrier),
       limits_(limits),
       scratch_(std::make_unique<char[]>(kScratch)) {
   sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
@@ -378,7 +394,7 @@
   if (c.closed_) return;
   c.closed_ = true;
   for (ClientSlot& slot : c.slots_)
-    if (slot.id && !slot.done) handler_.on_gone(slot.id);
+    if (slot.id && !slot.done) core_.gone(slot.id);
   c.slots_.clear();
   c.read_.reset();
   c.write_.reset();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kMaxName = 250;
 constexpr double kMaxWeight = 1000;
 constexpr std::size_t kMaxHosts = 10'000;
+// Entries of one list in `binary`; each is looked at for each request or server.
+constexpr std::size_t kMaxRules = 1'000;
 
 std::string scalar_text(const Json& value) {
   return value.is_string() ? value.get<std::string>() : value.dump();
@@ -127,6 +129,93 @@
   return it->get<std::string>();
 }
 
+/// The object `binary`. Every name in it is known, so that a slip of the pen is no silent default.
+BinaryRules binary_of(const Json& json, const robinseam::Settings& settings) {
+  using robinseam::ClassSettings, robinseam::Effect;
+  auto fail = [](const std::string& name, const std::string& why) {
+    return ConfigError("binary." + name + ": " + why);
+  };
+  if (!json.is_object()) throw ConfigError("binary: no object");
+  for (const auto& [name, value] : json.items())
+    if (name != "clients" && name != "read_class" && name != "write_class" &&
+        name != "read_deadline_ms" && name != "write_deadline_ms" && name != "tenants" &&
+        name != "idempotency" && name != "servers")
+      throw fail(name, "no such setting");
+  BinaryRules rules;
+  auto text = [&](const Json& from, const char* name, const std::string& path) -> std::string {
+    auto it = from.find(name);
+    if (it == from.end()) return {};
+    if (!it->is_string() || it->get_ref<const std::string&>().empty() ||
+        it->get_ref<const std::string&>().size() > kMaxName)
+      throw fail(path, "no text of 1 to 250 bytes");
+    return it->get<std::string>();
+  };
+  rules.clients = true;
+  if (auto it = json.find("clients"); it != json.end()) {
+    if (!it->is_boolean()) throw fail("clients", "neither true nor false");
+    rules.clients = it->get<bool>();
+  }
+  // Reads go to a class that may be repeated, writes to one that may not without a key.
+  auto class_of = [&](const char* name, std::initializer_list<Effect> effects,
+                      const char* what) -> const ClassSettings* {
+    std::string wanted = text(json, name, name);
+    for (Effect effect : effects)
+      for (const ClassSettings& c : settings.classes)
+        if (c.effect == effect && (wanted.empty() || c.name == wanted)) return &c;
+    if (!wanted.empty()) throw fail(name, "'" + wanted + "' is no class that is " + what);
+    if (rules.clients) throw fail(name, std::string("no class is ") + what);
+    return nullptr;
+  };
+  auto patience = [&](const char* name, const ClassSettings* c) -> robinseam::Micros {
+    auto it = json.find(name);
+    if (!c || it == json.end()) return c ? c->deadline : 0;
+    double most = static_cast<double>(c->deadline) / 1000;
+    if (!it->is_number() || !(it->get<double>() >= 1) || !(it->get<double>() <= most))
+      throw fail(name, "no number from 1 to the deadline of class '" + c->name + "', " +
+                           std::to_string(c->deadline / 1000));
+    return static_cast<robinseam::Micros>(it->get<double>() * 1000);
+  };
+  const ClassSettings* read = class_of("read_class", {Effect::Repeatable}, "repeatable");
+  const ClassSettings* write =
+      class_of("write_class", {Effect::Keyed, Effect::Once}, "by_key or once");
+  if (read) rules.read_type = read->name;
+  if (write) rules.write_type = write->name;
+  rules.read_patience = patience("read_deadline_ms", read);
+  rules.write_patience = patience("write_deadline_ms", write);
+  if (!settings.tenants.empty()) rules.first_tenant = settings.tenants.front().name;
+  if (auto it = json.find("tenants"); it != json.end()) {
+    if (!it->is_array() || it->size() > kMaxRules) throw fail("tenants", "no list of at most 1000");
+    for (const Json& one : *it) {
+      if (!one.is_object()) throw fail("tenants", "an entry is no object");
+      std::string prefix = text(one, "prefix", "tenants.prefix");
+      std::string tenant = text(one, "tenant", "tenants.tenant");
+      if (prefix.empty()) throw fail("tenants.prefix", "missing");
+      bool known = std::any_of(settings.tenants.begin(), settings.tenants.end(),
+                               [&](const auto& t) { return t.name == tenant; });
+      if (!known) throw fail("tenants.tenant", "'" + tenant + "' is no tenant of the settings");
+      rules.tenants.emplace_back(std::move(prefix), std::move(tenant));
+    }
+  }
+  std::string idempotency = text(json, "idempotency", "idempotency");
+  if (!idempotency.empty() && idempotency != "none" && idempotency != "cas")
+    throw fail("idempotency", "'" + idempotency + "' is neither none nor cas");
+  rules.cas_is_idempotency_key = idempotency == "cas";
+  if (auto it = json.find("servers"); it != json.end()) {
+    if (!it->is_array() || it->size() > kMaxRules) throw fail("servers", "no list of at most 1000");
+    for (const Json& one : *it) {
+      if (!one.is_object()) throw fail("servers", "an entry is no object");
+      for (const auto& [name, value] : one.items())
+        if (name != "kind" && name != "id") throw fail("servers." + name, "no such setting");
+      BinaryRules::ServerRule rule{text(one, "kind", "servers.kind"),
+                                   text(one, "id", "servers.id")};
+      if (rule.kind.empty() && rule.id.empty())
+        throw fail("servers", "an entry with neither kind nor id");
+      rules.servers.push_back(std::move(rule));
+    }
+  }
+  return rules;
+}
+
 Config config_of(const Json& json) {
   if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file holds no JSON object");
   Config c;
@@ -168,6 +257,8 @@
   } catch (const std::runtime_error& e) {
     throw ConfigError(std::string("settings: ") + e.what());
   }
+  if (auto binary = json.find("binary"); binary != json.end() && !binary->is_null())
+    c.binary = binary_of(*binary, c.settings);
   return c;
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "../drill/settings.hpp"
+#include "binary_rules.hpp"
 
 namespace arrowfork {
 
@@ -37,6 +38,7 @@
   HostList known;
   robinseam::Settings settings;
   robinseam::drill::LinkSettings links;
+  BinaryRules binary;  ///< of the object `binary`; without it nothing binary is spoken
 };
 
 /// Reads the file that NODE_CONFIG names. The other NODE_ variables say what it leaves out: they
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -8,8 +8,8 @@
 #include <optional>
 #include <string>
 
+#include "../io/io.hpp"
 #include "config.hpp"
-#include "io.hpp"
 
 namespace arrowfork {
 
--- /dev/null
+++ b/src/net/server_codec.hpp
@@ -0,0 +1,59 @@
+// Between the core's requests and a cache server's bytes, one codec a protocol.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "../core/request.hpp"
+#include "../protocol/binary.hpp"
+#include "../protocol/meta.hpp"
+
+namespace arrowfork {
+
+enum class ServerProtocol { Meta, Binary };
+
+/// What the next answer of a connection must belong to.
+struct Expected {
+  bool write = false;
+  bool wants_flags = false;
+  std::string name;  ///< meta: the request's id; binary: its key
+  std::uint32_t opaque = 0;
+};
+
+/// Reads one connection and writes what goes out on it.
+class ServerCodec {
+ public:
+  virtual ~ServerCodec() = default;
+  /// The bytes of one attempt; `expected` is filled with what its answer must bear. `opaque` is
+  /// another with each call on any connection.
+  virtual std::string encode(const Request& request, std::int64_t wait_ms, std::uint32_t opaque,
+                             Expected& expected) const = 0;
+
+  struct Answer {
+    Status status = Status::Error;
+    AttemptResult result;
+    bool last = false;  ///< after it the connection's framing is not to be trusted
+  };
+  enum class Got {
+    Nothing,  ///< all of `in` is consumed, no answer is whole
+    Answer,   ///< `answer` is whole and belongs to `next`
+    Broken,   ///< no answer, or not to `next`; the connection is of no more use
+  };
+  /// `next`: whose answer is due; null where none is.
+  virtual Got take(std::string_view& in, const Expected* next, Answer& answer) = 0;
+  /// True while an answer has come in part.
+  virtual bool in_answer() const = 0;
+  /// True while what has come of a value ends like a whole one.
+  virtual bool ends_early() const { return false; }
+  /// Whether a connection that begins with `first` is that of the other protocol.
+  virtual bool is_other_protocol(unsigned char first) const = 0;
+
+  static std::unique_ptr<ServerCodec> make(ServerProtocol protocol,
+                                           const std::vector<robinseam::ReportField>* fields);
+};
+
+const char* name_of(ServerProtocol protocol);
+
+}  // namespace arrowfork
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdio>
 
 namespace arrowfork {
 namespace {
@@ -39,13 +40,19 @@
 // wrong. Harm: a value that holds a line end just where the server paused runs twice.
 constexpr Micros kEndTime = 20 * kMillisecond;
 constexpr Micros kSweep = kSecond / 40;
+// A server of the wrong protocol is told of this often.
+constexpr Micros kComplainEvery = 10 * kSecond;
 
 }  // namespace
 
 struct ServerPool {
   std::string id;
+  std::string kind;
   std::string dial;
   std::optional<sockaddr_in> address;
+  ServerProtocol protocol = ServerProtocol::Meta;
+  bool proven = false;  // has given an answer of that protocol
+  Micros complained_at = 0;
   bool listed = false;  // named by discovery and not gone
   bool wanted = false;  // listed and ready, and nobody newer at its address
   Micros born = 0;
@@ -71,19 +78,18 @@
   struct Entry {
     RequestId id;
     int attempt;
-    bool live = true;  // somebody waits for it
-    bool set;
-    std::string answer_id;  // that its answer must bear
-    std::string bytes;      // the command, its value too
-    std::size_t size;       // of `bytes`, which are freed once written
-    Micros since;           // queued, then abandoned
+    bool live = true;   // somebody waits for it
+    Expected expected;  // what its answer must bear
+    std::string bytes;  // the command, its value too
+    std::size_t size;   // of `bytes`, which are freed once written
+    Micros since;       // queued, then abandoned
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, Fd fd)
       : side_(side),
         pool_(pool),
         fd_(std::move(fd)),
-        reader_(side.fields_),
+        codec_(ServerCodec::make(pool.protocol, side.fields_)),
         used_at_(side.clock_.now()) {
     read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
     write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
@@ -170,7 +176,7 @@
       } else {
         ++side_.counts_.ended_busy;
         bool stale = idle_before_ > 0 && sent_ == entries_.size() && sent_ == 1 &&
-                     !reader_.in_answer() && now - used_at_ < kStaleReset;
+                     !codec_->in_answer() && now - used_at_ < kStaleReset;
         if (stale) pool_.note_idle_reset(idle_before_, now);
       }
       side_.close(*this);
@@ -178,22 +184,29 @@
     }
     used_at_ = side_.clock_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
-    Answer answer;
+    if (!std::exchange(heard_, true) && !pool_.proven && codec_->is_other_protocol(in.front())) {
+      side_.wrong_protocol(*this);
+      return;
+    }
+    ServerCodec::Answer answer;
     while (!closed_) {
-      AnswerReader::Got what = reader_.take(in, answer);
-      if (what == AnswerReader::Got::Nothing) break;
+      ServerCodec::Got what =
+          codec_->take(in, sent_ > 0 ? &entries_.front().expected : nullptr, answer);
+      if (what == ServerCodec::Got::Nothing) break;
       // Garbage, and answers nobody asked for, say that the two sides no longer agree on what
       // belongs to what: nothing more from this connection may be believed.
-      if (what == AnswerReader::Got::Broken || sent_ == 0 || !fits(entries_.front(), answer)) {
+      if (what == ServerCodec::Got::Broken) {
         spoilt();
         return;
       }
       bool last = answer.last;
+      pool_.proven |= !last;
       Entry done = std::move(entries_.front());
       entries_.pop_front();
       --sent_;
       if (done.live)
-        side_.handler_.on_attempt_end(done.id, done.attempt, status_of(answer), std::move(answer));
+        side_.handler_.on_attempt_end(done.id, done.attempt, answer.status,
+                                      std::move(answer.result));
       else
         ++side_.counts_.late_answers;
       if (last) {
@@ -203,7 +216,7 @@
     }
     // The beginning of something that nobody asked for: it would be read as part of the next
     // answer.
-    if (sent_ == 0 && reader_.in_answer()) {
+    if (sent_ == 0 && codec_->in_answer()) {
       spoilt();
       return;
     }
@@ -215,27 +228,6 @@
     side_.close(*this, Status::Spoilt);
   }
 
-  static Status status_of(const Answer& answer) {
-    switch (answer.kind) {
-      case Answer::Kind::Busy:
-        return Status::Full;
-      case Answer::Kind::Error:
-        return Status::Error;
-      case Answer::Kind::Miss:
-        return Status::Miss;
-      default:
-        return Status::Ok;
-    }
-  }
-
-  static bool fits(const Entry& e, const Answer& answer) {
-    if (answer.kind == Answer::Kind::Value && e.set) return false;
-    if (answer.kind == Answer::Kind::Stored && !e.set) return false;
-    if (answer.kind == Answer::Kind::Value || answer.kind == Answer::Kind::Stored)
-      return answer.id == e.answer_id;
-    return answer.id.empty() || answer.id == e.answer_id;
-  }
-
   /// True when the peer has ended or broken the connection, or said something unasked.
   bool ended() const {
     char byte;
@@ -247,7 +239,8 @@
   ServerPool& pool_;
   Fd fd_;
   EventPtr read_, write_;
-  AnswerReader reader_;
+  std::unique_ptr<ServerCodec> codec_;
+  bool heard_ = false;  // bytes have come on it
   std::deque<Entry> entries_;  // in the order of their answers
   std::size_t sent_ = 0;       // of them, written whole
   std::size_t partial_ = 0;    // bytes of the next one that are written
@@ -259,7 +252,7 @@
   Micros idle_before_ = 0;  // how long it was idle before its last use; 0 for a new one
 };
 
-ServerSide::ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
+ServerSide::ServerSide(event_base* base, const TimeSource& clock, Handler& handler, Limits limits,
                        const std::vector<robinseam::ReportField>* fields)
     : base_(base),
       clock_(clock),
@@ -274,6 +267,45 @@
 
 ServerSide::~ServerSide() = default;
 
+void ServerSide::set_protocols(const BinaryRules& rules) {
+  rules_ = rules;
+  for (auto& [id, pool] : pools_) set_protocol(*pool);
+}
+
+/// What is out on a connection of the protocol that is no more spoken there would only be lost a
+/// little later.
+void ServerSide::set_protocol(ServerPool& pool) {
+  robinseam::Server server;
+  server.id = pool.id;
+  server.kind = pool.kind;
+  ServerProtocol protocol =
+      rules_.server_is_binary(server) ? ServerProtocol::Binary : ServerProtocol::Meta;
+  if (protocol == pool.protocol) return;
+  pool.protocol = protocol;
+  pool.proven = false;
+  pool.complained_at = 0;
+  while (!pool.connections.empty()) close(*pool.connections.back());
+}
+
+/// Only the connection's first bytes are taken for that, and only before the server has spoken the
+/// right protocol once: later it is noise like any other.
+void ServerSide::wrong_protocol(ServerConnection& c) {
+  ++counts_.wrong_protocol;
+  ServerPool& pool = c.pool_;
+  Micros now = clock_.now();
+  if (!pool.complained_at || now - pool.complained_at > kComplainEvery) {
+    pool.complained_at = now;
+    bool binary = pool.protocol == ServerProtocol::Binary;
+    std::fprintf(stderr,
+                 "arrowfork: server %s at %s answers in the %s protocol but is configured for %s: "
+                 "see binary.servers\n",
+                 pool.id.c_str(), pool.dial.c_str(),
+                 name_of(binary ? ServerProtocol::Meta : ServerProtocol::Binary),
+                 name_of(pool.protocol));
+  }
+  close(c, Status::Spoilt);
+}
+
 void ServerSide::take_list(const HostList& list) {
   if (list.whole)
     for (auto& [id, pool] : pools_) pool->listed = pool->wanted = false;
@@ -287,6 +319,8 @@
       at->second->idle_limit = idle_limit();
     }
     ServerPool& pool = *at->second;
+    if (!gone) pool.kind = host.server.kind;
+    set_protocol(pool);
     // Another process, or another place: what is open leads to the old one.
     bool moved = !gone && (pool.dial != host.dial || pool.born != host.server.up_since);
     if (moved) {
@@ -295,6 +329,7 @@
       pool.address = parse_address(host.dial);
       pool.no_dial_until = 0;
       pool.idle_limit = idle_limit();
+      pool.proven = false;
       for (auto& c : pool.connections) c->retiring_ = true;
     }
     pool.listed = !gone;
@@ -347,6 +382,9 @@
 
 ServerConnection* ServerSide::least_loaded(const ServerPool& pool, bool established) const {
   ServerConnection* best = nullptr;
+  // Where servers may be configured for the wrong protocol, one attempt a connection is what that
+  // may cost.
+  if (!rules_.servers.empty() && !pool.proven) return nullptr;
   for (auto& c : pool.connections)
     if (!c->retiring_ && !(established && c->connecting_) &&
         (c->entries_.empty() || c->entries_.front().live) &&
@@ -420,23 +458,21 @@
   }
 }
 
-void ServerSide::send(const std::string& server, RequestId id, int attempt, const Command& command,
-                      std::int64_t wait_ms) {
+void ServerSide::send(const std::string& server, RequestId id, int attempt, const Request& request,
+                      Micros wait) {
   auto at = pools_.find(server);
   bool wanted = at != pools_.end() && at->second->wanted;
   ServerConnection* c = wanted ? pick(*at->second) : nullptr;
   if (!c) {
     ++counts_.no_connection;
-    handler_.on_attempt_end(id, attempt, Status::ConnectFailed, Answer());
+    handler_.on_attempt_end(id, attempt, Status::ConnectFailed, AttemptResult());
     return;
   }
   ServerConnection::Entry e;
   e.id = id;
   e.attempt = attempt;
-  e.set = command.set;
-  e.answer_id = command.id;
-  e.bytes = command.line(wait_ms);
-  if (command.value) e.bytes += *command.value;
+  e.bytes = c->codec_->encode(request, (wait + kMillisecond - 1) / kMillisecond, ++opaque_,
+                              e.expected);
   e.size = e.bytes.size();
   e.since = clock_.now();
   c->idle_before_ = c->idle() ? e.since - c->used_at_ : 0;
@@ -488,7 +524,7 @@
     ServerConnection::Entry& e = c.entries_[k];
     if (e.live) {
       handler_.on_attempt_end(e.id, e.attempt, k < c.sent_ ? written : Status::ConnectFailed,
-                              Answer());
+                              AttemptResult());
     }
   }
   c.entries_.clear();
@@ -514,7 +550,7 @@
   for (ServerConnection::Entry& e : waiting) {
     ServerConnection* other = least_loaded(pool, true);
     if (!other) {
-      if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
+      if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, AttemptResult());
       continue;
     }
     other->entries_.push_back(std::move(e));
@@ -557,14 +593,14 @@
              now - c.entries_.back().since > limits_.dial_timeout) {
         ServerConnection::Entry e = std::move(c.entries_.back());
         c.entries_.pop_back();
-        if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, Answer());
+        if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, AttemptResult());
       }
       if (c.entries_.empty()) continue;
       const ServerConnection::Entry& head = c.entries_.front();
       // Not from its last byte: one that trickles on would keep the connection for good.
       bool silent = !head.live && now - head.since > kAbandonTime;
-      Micros pause = c.reader_.ends_early() ? kEndTime : kPauseTime;
-      bool broken_off = c.reader_.in_answer() && now - c.used_at_ > pause;
+      Micros pause = c.codec_->ends_early() ? kEndTime : kPauseTime;
+      bool broken_off = c.codec_->in_answer() && now - c.used_at_ > pause;
       if (silent || broken_off)
         ++counts_.gave_up, close(c, broken_off ? Status::Spoilt : Status::Reset);
     }
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -8,28 +8,27 @@
 #include <unordered_map>
 #include <vector>
 
+#include "../core/core.hpp"
+#include "../io/io.hpp"
 #include "config.hpp"
-#include "io.hpp"
-#include "memcache.hpp"
+#include "server_codec.hpp"
 
 namespace arrowfork {
 
-using robinseam::RequestId;
-using robinseam::Status;
-
 class ServerConnection;
 struct ServerPool;
 
-class ServerSide {
+class ServerSide final : public Carrier {
  public:
   /// Told of what becomes of attempts. Calls come from within the event loop, and from send() and
   /// cancel(); none may call back into ServerSide.
   class Handler {
    public:
     virtual ~Handler() = default;
-    /// The attempt has ended; `answer` is what came, where `status` tells of one. Called once for
+    /// The attempt has ended; `result` is what came, where `status` tells of one. Called once for
     /// each attempt, unless it was cancelled.
-    virtual void on_attempt_end(RequestId id, int attempt, Status status, Answer&& answer) = 0;
+    virtual void on_attempt_end(RequestId id, int attempt, Status status,
+                                AttemptResult&& result) = 0;
   };
   struct Limits {
     std::size_t connections = 300;  ///< to all servers
@@ -40,24 +39,27 @@
     bool may_cancel = false;  ///< servers may drop what is given up
   };
 
-  ServerSide(event_base* base, const Clock& clock, Handler& handler, Limits limits,
+  ServerSide(event_base* base, const TimeSource& clock, Handler& handler, Limits limits,
              const std::vector<robinseam::ReportField>* fields);
   ~ServerSide();
 
   void set_limits(const Limits& limits) { limits_ = limits; }
+  /// Which servers speak the binary protocol from now on. Connections to those whose protocol has
+  /// changed end with what is out on them.
+  void set_protocols(const BinaryRules& rules);
   /// Takes over what a list says of where servers are and whether they want anything new.
   void take_list(const HostList& list);
 
   /// Sends one attempt. The handler may be told of its end before this returns.
-  void send(const std::string& server, RequestId id, int attempt, const Command& command,
-            std::int64_t wait_ms);
+  void send(const std::string& server, RequestId id, int attempt, const Request& request,
+            Micros wait) override;
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
-  Status cancel(const std::string& server, RequestId id, int attempt);
+  Status cancel(const std::string& server, RequestId id, int attempt) override;
   /// Counts since the start, for the log.
   struct Counts {
     std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
     std::uint64_t ended_idle = 0, ended_busy = 0, garbage = 0, closed_idle = 0, gave_up = 0;
-    std::uint64_t late_answers = 0, made_room = 0;
+    std::uint64_t late_answers = 0, made_room = 0, wrong_protocol = 0;
   };
   const Counts& counts() const { return counts_; }
 
@@ -74,6 +76,8 @@
   static void on_sweep(evutil_socket_t, short, void* self);
   void sweep();
   void forget_gone();
+  void set_protocol(ServerPool& pool);
+  void wrong_protocol(ServerConnection& connection);
   /// How long a connection may stand idle as far as the settings tell.
   Micros idle_limit() const;
   ServerConnection* pick(ServerPool& pool);
@@ -89,13 +93,15 @@
   void failed_dial(ServerConnection& connection);
 
   event_base* base_;
-  const Clock& clock_;
+  const TimeSource& clock_;
   Handler& handler_;
   Limits limits_;
   const std::vector<robinseam::ReportField>* fields_;
+  BinaryRules rules_;
   EventPtr sweep_event_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
+  std::uint32_t opaque_ = 0;  // of the last attempt
   Counts counts_;
   std::vector<std::unique_ptr<ServerConnection>> closed_;
   std::vector<ServerConnection*> dirty_;
--- /dev/null
+++ b/src/protocol/binary.cpp
@@ -0,0 +1,225 @@
+#include "binary.hpp"
+
+#include <algorithm>
+
+namespace arrowfork::binary {
+namespace {
+
+// A body that can't be used is read past up to this, memcached's own largest item; beyond, the
+// connection ends instead.
+constexpr std::size_t kSkipMost = 1u << 20;
+constexpr std::size_t kSetExtras = 8, kGetExtras = 4;
+// Set aside for a body before it has come: lengths that are only said cost no memory.
+constexpr std::size_t kFirstReserve = 4096;
+// Opcodes up to TOUCH, GAT and the SASL, range, vbucket and tap families that memcached names; the
+// rest it does not know either.
+constexpr std::uint8_t kLastNamed = 0x4f;
+
+template <typename T>
+T load(std::string_view bytes, std::size_t at) {
+  T value = 0;
+  for (std::size_t k = 0; k < sizeof(T); ++k)
+    value = static_cast<T>(static_cast<std::uint64_t>(value) << 8 |
+                           static_cast<unsigned char>(bytes[at + k]));
+  return value;
+}
+
+template <typename T>
+void store(std::string& to, T value) {
+  for (std::size_t k = sizeof(T); k-- > 0;)
+    to.push_back(static_cast<char>(static_cast<std::uint64_t>(value) >> (8 * k) & 0xff));
+}
+
+void store_header(std::string& to, unsigned char magic, std::uint8_t opcode, std::size_t key,
+                  std::size_t extras, std::uint16_t status, std::size_t value,
+                  std::uint32_t opaque, std::uint64_t cas) {
+  to.reserve(kHeader + extras + key + value);
+  store(to, magic);
+  store(to, opcode);
+  store(to, static_cast<std::uint16_t>(key));
+  store(to, static_cast<std::uint8_t>(extras));
+  store(to, std::uint8_t{0});  // data type: raw bytes
+  store(to, status);
+  store(to, static_cast<std::uint32_t>(extras + key + value));
+  store(to, opaque);
+  store(to, cas);
+}
+
+/// Fills `partial` up to `size` bytes from `in`; whether it is whole.
+bool fill(std::string_view& in, std::string& partial, std::size_t size) {
+  std::size_t part = std::min(size - partial.size(), in.size());
+  partial.append(in.data(), part);
+  in.remove_prefix(part);
+  return partial.size() == size;
+}
+
+/// How a request's lengths must be; 0 where they are right, else the status to answer with.
+std::uint16_t check(Opcode opcode, std::size_t key, std::size_t extras, std::size_t value) {
+  if (is_read(opcode))
+    return key == 0 || key > kMaxKey || extras || value ? status::kInvalid : status::kOk;
+  if (is_write(opcode)) {
+    if (key == 0 || key > kMaxKey || extras != kSetExtras) return status::kInvalid;
+    return value > kMaxValue ? status::kTooLarge : status::kOk;
+  }
+  switch (opcode) {
+    case Opcode::Noop:
+    case Opcode::Version:
+    case Opcode::Quit:
+    case Opcode::QuitQ:
+      return key || extras || value ? status::kInvalid : status::kOk;
+    case Opcode::Stat:
+      return key > kMaxKey || extras || value ? status::kInvalid : status::kOk;
+    default:
+      return static_cast<std::uint8_t>(opcode) <= kLastNamed ? status::kNotSupported
+                                                             : status::kUnknown;
+  }
+}
+
+}  // namespace
+
+CommandReader::Got CommandReader::take_header(Command& command) {
+  std::string_view h = partial_;
+  pending_ = Command();
+  pending_.opcode = static_cast<Opcode>(load<std::uint8_t>(h, 1));
+  pending_.opaque = load<std::uint32_t>(h, 12);
+  pending_.cas = load<std::uint64_t>(h, 16);
+  key_ = load<std::uint16_t>(h, 2);
+  extras_ = load<std::uint8_t>(h, 4);
+  std::size_t body = load<std::uint32_t>(h, 8);
+  bool raw = load<std::uint8_t>(h, 5) == 0;
+  bool framed = load<std::uint8_t>(h, 0) == kRequestMagic && body >= key_ + extras_;
+  partial_.clear();
+  if (!framed) {
+    refused_ = status::kInvalid;
+    command = pending_;
+    return Got::Broken;
+  }
+  refused_ = check(pending_.opcode, key_, extras_, body - key_ - extras_);
+  if (refused_ == status::kOk && !raw) refused_ = status::kInvalid;
+  need_ = body;
+  if (refused_ == status::kOk) {
+    state_ = State::Body;
+    partial_.reserve(std::min(need_, kFirstReserve));
+    return Got::Nothing;
+  }
+  if (body > kSkipMost) {
+    if (refused_ != status::kTooLarge && !is_write(pending_.opcode)) refused_ = status::kInvalid;
+    command = pending_;
+    return Got::Broken;
+  }
+  state_ = State::Skip;  // told once its body is past
+  return Got::Nothing;
+}
+
+CommandReader::Got CommandReader::take(std::string_view& in, Command& command) {
+  while (true) {
+    if (state_ == State::Header) {
+      if (in.empty()) return Got::Nothing;
+      // No header need be waited for whole to see that it is none.
+      if (partial_.empty() && static_cast<unsigned char>(in.front()) != kRequestMagic) {
+        command = Command();
+        refused_ = status::kInvalid;
+        return Got::Broken;
+      }
+      if (!fill(in, partial_, kHeader)) return Got::Nothing;
+      if (Got got = take_header(command); got != Got::Nothing) return got;
+    } else if (state_ == State::Skip) {
+      std::size_t size = std::min(need_, in.size());
+      in.remove_prefix(size);
+      need_ -= size;
+      if (need_ > 0) return Got::Nothing;
+      state_ = State::Header;
+      command = pending_;
+      return Got::Refused;
+    } else {
+      if (!fill(in, partial_, need_)) return Got::Nothing;
+      state_ = State::Header;
+      if (is_write(pending_.opcode)) {
+        pending_.flags = load<std::uint32_t>(partial_, 0);
+        pending_.expiry = load<std::uint32_t>(partial_, 4);
+      }
+      pending_.key.assign(partial_, extras_, key_);
+      partial_.erase(0, extras_ + key_);
+      pending_.value = std::move(partial_);
+      partial_.clear();
+      command = std::move(pending_);
+      return Got::Command;
+    }
+  }
+}
+
+bool AnswerReader::take_header() {
+  std::string_view h = partial_;
+  pending_ = Answer();
+  pending_.opcode = load<std::uint8_t>(h, 1);
+  key_ = load<std::uint16_t>(h, 2);
+  extras_ = load<std::uint8_t>(h, 4);
+  pending_.status = load<std::uint16_t>(h, 6);
+  need_ = load<std::uint32_t>(h, 8);
+  pending_.opaque = load<std::uint32_t>(h, 12);
+  pending_.cas = load<std::uint64_t>(h, 16);
+  bool raw = load<std::uint8_t>(h, 5) == 0;
+  partial_.clear();
+  bool served = pending_.status == status::kOk;
+  bool read = served && is_read(static_cast<Opcode>(pending_.opcode));
+  if (!raw || need_ < key_ + extras_ || key_ > kMaxKey || extras_ > kGetExtras ||
+      need_ - key_ - extras_ > kMaxValue || (read && extras_ != kGetExtras))
+    return false;
+  in_body_ = true;
+  partial_.reserve(std::min(need_, kFirstReserve));
+  return true;
+}
+
+AnswerReader::Got AnswerReader::take(std::string_view& in, Answer& answer) {
+  while (true) {
+    if (!in_body_) {
+      if (in.empty()) return Got::Nothing;
+      if (partial_.empty() && static_cast<unsigned char>(in.front()) != kResponseMagic)
+        return Got::Broken;
+      if (!fill(in, partial_, kHeader)) return Got::Nothing;
+      if (!take_header()) return Got::Broken;
+    }
+    if (!fill(in, partial_, need_)) return Got::Nothing;
+    in_body_ = false;
+    if (extras_ == kGetExtras) pending_.flags = load<std::uint32_t>(partial_, 0);
+    pending_.key.assign(partial_, extras_, key_);
+    partial_.erase(0, extras_ + key_);
+    pending_.value = std::move(partial_);
+    partial_.clear();
+    answer = std::move(pending_);
+    return Got::Answer;
+  }
+}
+
+std::string request(const Command& c) {
+  std::string text;
+  bool write = is_write(c.opcode);
+  store_header(text, kRequestMagic, static_cast<std::uint8_t>(c.opcode), c.key.size(),
+               write ? kSetExtras : 0, 0, c.value.size(), c.opaque, c.cas);
+  if (write) {
+    store(text, c.flags);
+    store(text, c.expiry);
+  }
+  return text.append(c.key).append(c.value);
+}
+
+std::string response(Opcode opcode, std::uint16_t status, std::uint32_t opaque,
+                     std::string_view value, std::string_view key, std::uint32_t flags,
+                     std::uint64_t cas) {
+  std::string text;
+  bool read = is_read(opcode) && status == status::kOk;
+  if (!read || !tells_key(opcode)) key = {};
+  store_header(text, kResponseMagic, static_cast<std::uint8_t>(opcode), key.size(),
+               read ? kGetExtras : 0, status, value.size(), opaque, cas);
+  if (read) store(text, flags);
+  return text.append(key).append(value);
+}
+
+std::string stat(std::uint32_t opaque, std::string_view name, std::string_view value) {
+  std::string text;
+  store_header(text, kResponseMagic, static_cast<std::uint8_t>(Opcode::Stat), name.size(), 0, 0,
+               value.size(), opaque, 0);
+  return text.append(name).append(value);
+}
+
+}  // namespace arrowfork::binary
--- a/src/net/memcache.cpp
+++ b/src/protocol/meta.cpp
@@ -1,4 +1,4 @@
-#include "memcache.hpp"
+#include "meta.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -84,27 +84,17 @@
 
 }  // namespace
 
-std::string Command::line(std::int64_t wait) const {
-  char digits[24];
-  char* end = std::to_chars(digits, digits + sizeof digits, wait).ptr;
-  std::string text;
-  text.reserve(before_d.size() + after_d.size() + static_cast<std::size_t>(end - digits) + 2 +
-               (value ? value->size() : 0));
-  text.append(before_d).append(digits, end).append(after_d).append("\r\n");
-  return text;
-}
-
 /// Reads what stands behind the verb, a read's or a write's: exactly what PROTOCOL gives clients to
 /// send, since it goes on as it is over a connection that others share, and a cache server closes
 /// on what it can't read.
-bool CommandReader::parse_line(std::string_view line, Command& command) {
+bool CommandReader::parse_line(std::string_view line, Command& command) const {
   std::string_view rest = line;
   next_word(rest);
   command.key = next_word(rest);
   if (!well_sized(command.key, kMaxKey)) return false;
   if (command.set) next_word(rest);  // the length
   std::string_view pairs;
-  bool value_wanted = false;
+  bool value_wanted = false, flags_set = false;
   while (!rest.empty()) {
     std::string_view flag = next_word(rest);
     if (flag == "v" && !command.set && !value_wanted)
@@ -113,7 +103,14 @@
       command.id = flag.substr(1);
     else if (flag.starts_with('P') && pairs.empty())
       pairs = flag.substr(1);
-    else
+    else if (flags_ && flag == "f" && !command.set && !command.wants_flags)
+      command.wants_flags = true;
+    else if (flags_ && flag.starts_with('F') && command.set && !flags_set) {
+      auto flags = number<std::uint32_t>(flag.substr(1));
+      if (!flags) return false;
+      command.flags = *flags;
+      flags_set = true;
+    } else
       return false;
   }
   if (line.ends_with(' ') || value_wanted == command.set || !well_sized(command.id, kMaxId) ||
@@ -133,8 +130,8 @@
       if (!command.tenant.empty()) return false;
       command.tenant = value;
     } else if (name == "k") {
-      if (command.keyed || !well_sized(value, kMaxId)) return false;
-      command.keyed = true;
+      if (!command.idempotency.empty() || !well_sized(value, kMaxId)) return false;
+      command.idempotency = value;
     } else if (name == "r") {
       if (value != "1" && value != "0") return false;
       command.repeat = value == "1";
@@ -200,6 +197,7 @@
       if (value_need_ > 0) return Got::Nothing;
       state_ = State::Line;
       if (!ends_line(*value_)) return Got::Broken;
+      value_->resize(value_->size() - 2);
       pending_.value = std::move(value_);
       command = std::move(pending_);
       return Got::Command;
@@ -299,6 +297,9 @@
         if (!answer.receipt.empty() || !well_sized(value, kMaxId)) return false;
         answer.receipt = value;
         break;
+      case 'f':
+        answer.flags = number<std::uint32_t>(value);
+        break;
       case 'h':
         answer.note = value == "1" ? 1 : value == "0" ? 2 : 0;
         break;
@@ -357,6 +358,7 @@
     if (need_ > 0) return Got::Nothing;
     state_ = State::Line;
     if (!ends_line(pending_.value)) return Got::Broken;
+    pending_.value.resize(pending_.length);
     answer = std::move(pending_);
     return Got::Answer;
   }
--- a/src/net/memcache.hpp
+++ b/src/protocol/meta.hpp
@@ -23,19 +23,20 @@
   bool set = false;
   std::string before_d, after_d;  ///< the line without its end, on both sides of the figure of `d`
   std::string id, key, type, tenant;
-  bool keyed = false;   ///< it has an idempotency key, `k`
+  std::string idempotency;  ///< `k`; empty where the client gave none
   double wait_ms = -1;  ///< `d`; negative where the client gave none
   std::optional<std::int64_t> work;
   bool repeat = false;
-  std::shared_ptr<const std::string> value;  ///< of a set, with its line end
-
-  /// The bytes for a cache server up to the value, `wait_ms` in the place of the client's.
-  std::string line(std::int64_t wait_ms) const;
+  bool wants_flags = false;  ///< `f`: the answer must tell the flags kept beside the value
+  std::uint32_t flags = 0;   ///< `F` of a set
+  std::shared_ptr<const std::string> value;  ///< of a set
 };
 
 /// Reads commands. `take` consumes from `in`; what it can't finish yet it keeps.
 class CommandReader {
  public:
+  /// `flags`: the flags `f` and `F` are known.
+  explicit CommandReader(bool flags = false) : flags_(flags) {}
   enum class Got {
     Nothing,  ///< all of `in` is consumed, no command is whole
     Command,  ///< `command` is whole
@@ -50,9 +51,10 @@
 
  private:
   enum class State { Line, Value, Skip };
-  static bool parse_line(std::string_view line, Command& command);
+  bool parse_line(std::string_view line, Command& command) const;
   Got take_line(std::string_view line, Command& command);
 
+  bool flags_;
   State state_ = State::Line;
   std::string partial_;
   Command pending_;
@@ -67,7 +69,8 @@
   std::string id;       ///< of `O`; may be empty where the line has none
   std::string receipt;  ///< of `HD`
   std::size_t length = 0;
-  std::string value;           ///< of `VA`, with its line end
+  std::string value;           ///< of `VA`
+  std::optional<std::uint32_t> flags;  ///< `f`
   int note = 0;                ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
   std::vector<double> report;  ///< in the order of the settings' fields; NaN where not told
   bool last = false;           ///< after such a line the connection's framing is not to be trusted
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -736,16 +736,21 @@
                        [](const Attempt& a) { return a.ran != Ran::Never; });
   }
 
+  Effect effect_of(const Open& o) const {
+    Effect effect = set.classes[o.cls].effect;
+    return effect == Effect::Keyed && o.request.unkeyed ? Effect::Once : effect;
+  }
+
   /// Rules 2 and 3 for one more attempt at `server`.
   bool may_send(const Open& o, int server) const {
     const ServerState& to = servers[server];
     if (!usable(to) || static_cast<int>(o.attempts.size()) >= set.max_attempts) return false;
     if (!set.second_copies && any_out(o)) return false;
     const ClassSettings& c = set.classes[o.cls];
-    if (c.effect == Effect::Repeatable) return true;
+    if (effect_of(o) == Effect::Repeatable) return true;
     for (const Attempt& a : o.attempts) {
       if (a.ran == Ran::Never) continue;
-      if (c.effect == Effect::Once) return false;
+      if (effect_of(o) == Effect::Once) return false;
       if (now + 2 * set.tick >= a.sent + c.key_ttl) return false;
       const Server& from = servers[a.server].listed;
       if (c.group == Group::Zone && from.zone != to.listed.zone) return false;
@@ -756,8 +761,8 @@
 
   bool may_refuse(const Open& o) const {
     const ClassSettings& c = set.classes[o.cls];
-    if (c.effect == Effect::Repeatable || !may_have_run(o)) return true;
-    return c.effect == Effect::Keyed && c.group == Group::All;
+    if (effect_of(o) == Effect::Repeatable || !may_have_run(o)) return true;
+    return effect_of(o) == Effect::Keyed && c.group == Group::All;
   }
 
   void timer(Micros after, RequestId id, TimerKind kind) {
@@ -857,7 +862,7 @@
     Micros left = o.deadline - now;
     Micros wait = patience(o);
     bool again = static_cast<int>(o.attempts.size()) < set.max_attempts &&
-                 set.classes[o.cls].effect != Effect::Once && !set.classes[o.cls].streamed;
+                 effect_of(o) != Effect::Once && !set.classes[o.cls].streamed;
     Micros limit = 0;
     if (again && wait * 3 / 2 < left && !is_origin(s)) {  // never a second copy at the origin
       if (set.second_copies)
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -251,7 +251,8 @@
     thread_ = std::thread([this, config, in = ends[0], &port] {
       Fd order(in);
       EventBasePtr base(event_base_new());
-      Router router(base.get(), parse_config(config.text()));
+      Clock clock;
+      Router router(base.get(), parse_config(config.text()), clock);
       std::string error;
       if (!router.listen(error)) ADD_FAILURE() << error;
       struct Told {
--- a/tests/memcache_test.cpp
+++ b/tests/memcache_test.cpp
@@ -1,5 +1,5 @@
 // The parsers, whole and split at every byte.
-#include "net/memcache.hpp"
+#include "protocol/meta.hpp"
 
 #include <gtest/gtest.h>
 
@@ -23,8 +23,8 @@
       switch (got) {
         case CommandReader::Got::Command:
           seen.push_back((c.set ? "ms " : "mg ") + c.key + ' ' + c.id + ' ' + c.type + ' ' +
-                         c.tenant + ' ' + std::to_string(c.wait_ms) + ' ' + c.line(7) +
-                         (c.value ? *c.value : ""));
+                         c.tenant + ' ' + std::to_string(c.wait_ms) + ' ' + c.before_d + '7' + c.after_d +
+                         "\r\n" + (c.value ? *c.value + "\r\n" : ""));
           break;
         case CommandReader::Got::Noop:
           seen.push_back("mn");
@@ -122,7 +122,8 @@
       std::string report;
       for (double v : a.report) report += std::isnan(v) ? " -" : ' ' + std::to_string(v);
       seen.push_back(std::to_string(static_cast<int>(a.kind)) + ' ' + a.id + ' ' + a.receipt +
-                     " h" + std::to_string(a.note) + report + ' ' + a.value);
+                     " h" + std::to_string(a.note) + report + ' ' + a.value +
+                     (a.kind == Answer::Kind::Value ? "\r\n" : ""));
     }
   }
   return seen;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -748,7 +748,7 @@
 // Ids are ever new, and a watch may tell of changes alone.
 TEST(ServerSide, ServersThatAreGoneAreForgottenUnderChangesAlone) {
   struct Nobody final : ServerSide::Handler {
-    void on_attempt_end(RequestId, int, Status, Answer&&) override {}
+    void on_attempt_end(RequestId, int, Status, AttemptResult&&) override {}
   } nobody;
   EventBasePtr base(event_base_new());
   Clock clock;
