--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -54,8 +54,10 @@
     auto on_reload = [](evutil_socket_t, short, void* s) { reload(*static_cast<Served*>(s)); };
     EventPtr hangup(evsignal_new(base.get(), SIGHUP, on_reload, &served));
     event_add(hangup.get(), nullptr);
-    std::fprintf(stderr, "arrowfork: %s listens on %s\n", config.name.c_str(),
-                 config.listen.c_str());
+    // The address as it came to be: the system chooses a port where 0 was asked for.
+    std::string host = config.listen.substr(0, config.listen.rfind(':'));
+    std::fprintf(stderr, "arrowfork: %s listens on %s:%u\n", config.name.c_str(), host.c_str(),
+                 static_cast<unsigned>(router.port()));
     router.run();
     return 0;
   } catch (const std::exception& e) {
--- /dev/null
+++ b/src/app/wheeldeal.cpp
@@ -0,0 +1,82 @@
+// wheeldeal: everything the project has under one name. `run` is the same router as arrowfork.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+
+#include "../rig/cache_server.hpp"
+#include "../rig/show.hpp"
+#include "serve.hpp"
+
+namespace {
+
+int check(const std::string& file) {
+  try {
+    arrowfork::Config c = arrowfork::load_config(file);
+    // What the module would say at the start.
+    robinseam::Balancer(c.settings, c.seed, 0);
+    std::printf(
+        "%s: good: %s listens on %s, %zu classes, %zu known servers; binary clients %s, "
+        "%zu rules for binary servers\n",
+        file.c_str(), c.name.c_str(), c.listen.c_str(), c.settings.classes.size(),
+        c.known.hosts.size(), c.binary.clients ? "on" : "off", c.binary.servers.size());
+    return 0;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "%s: %s\n", file.c_str(), e.what());
+    return 1;
+  }
+}
+
+std::string own_program() {
+  char path[4096];
+  ssize_t size = ::readlink("/proc/self/exe", path, sizeof path);
+  return size > 0 ? std::string(path, static_cast<std::size_t>(size)) : "wheeldeal";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("wheeldeal: a router between clients and cache servers that speak memcached");
+  app.set_version_flag("--version", "wheeldeal " ARROWFORK_VERSION);
+  app.require_subcommand(1);
+  std::string file;
+  int status = 0;
+  CLI::App* run = app.add_subcommand("run", "serve until SIGTERM; SIGHUP reads the file again");
+  run->add_option("file", file, "configuration (JSON); without it, the one NODE_CONFIG names");
+  run->callback([&] {
+    status = arrowfork::serve(
+        [&] { return file.empty() ? arrowfork::load_config() : arrowfork::load_config(file); });
+  });
+  CLI::App* checked = app.add_subcommand("check", "say whether a configuration can be used");
+  checked->add_option("file", file, "configuration (JSON)")->required();
+  checked->callback([&] { status = check(file); });
+  arrowfork::rig::ShowOptions show;
+  CLI::App* rig = app.add_subcommand(
+      "rig", "a whole service on loopback with faults; exit status 0 where the rules held");
+  rig->add_option("--caches", show.caches, "cache servers")->check(CLI::Range(2, 200));
+  rig->add_option("--binary", show.binary, "of them binary")->check(CLI::Range(1, 199));
+  rig->add_option("--routers", show.routers, "routers")->check(CLI::Range(1, 16));
+  rig->add_option("--rate", show.rate, "requests a second of each protocol's tills")
+      ->check(CLI::Range(1.0, 20'000.0));
+  rig->add_option("--fault-seconds", show.fault_s, "how long each fault lasts")
+      ->check(CLI::Range(0.1, 60.0));
+  rig->add_option("--fault", show.faults, "play these faults only; may be given again")
+      ->check([](const std::string& name) -> std::string {
+        try {
+          arrowfork::rig::fault_of(name);
+          return {};
+        } catch (const std::exception& e) {
+          return e.what();
+        }
+      });
+  rig->add_flag("--no-changes{false}", show.changes, "no server leaves or joins, no reload");
+  rig->add_option("--seed", show.seed, "of keys, times and routers");
+  rig->callback([&] {
+    if (show.binary >= show.caches) throw CLI::ValidationError("--binary", "not under --caches");
+    show.program = own_program();
+    status = arrowfork::rig::show(show);
+  });
+  CLI11_PARSE(app, argc, argv);
+  return status;
+}
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -62,6 +62,7 @@
   // it.
   open.deadline = clock_.now() + std::min(request.patience, type->deadline);
   // Nor is any work longer than the patience for it: such a hint would upset the module's means.
+  request.keyed = request.write && !request.idempotency.empty() && carrier.keeps_key(request);
   if (request.work) request.work = std::min(*request.work, type->deadline);
   open.request = std::move(request);
   events_.push_back(RequestEvent{id});
@@ -265,7 +266,7 @@
       r.work = open.request.work;
       r.repeat = open.request.repeat;
       r.write = open.request.write;
-      r.unkeyed = open.request.write && open.request.idempotency.empty();
+      r.unkeyed = open.request.write && !open.request.keyed;
       set_timer(open.deadline, Due::Expiry, e->id, -1);
       perform("request", e->id, now, balancer_.on_request(now, r));
     } else if (auto* e = std::get_if<GoneEvent>(&event)) {
@@ -279,8 +280,7 @@
   }
 }
 
-void Core::perform(const char* call, RequestId id, Micros now,
-                   const robinseam::Actions& actions) {
+void Core::perform(const char* call, RequestId id, Micros now, const robinseam::Actions& actions) {
   if (tap_) tap_->on_call(now, call, id, actions);
   for (const robinseam::Action& action : actions)
     std::visit([this](const auto& a) { act(a); }, action);
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -34,6 +34,8 @@
                     Micros wait) = 0;
   /// Gives an attempt up: Moot where the server has nothing of it, Cancelled where it may have run.
   virtual Status cancel(const std::string& server, RequestId id, int attempt) = 0;
+  /// Whether every server that an attempt may reach is told the write's idempotency key.
+  virtual bool keeps_key(const Request& request) const = 0;
 
  protected:
   ~Carrier() = default;
@@ -180,7 +182,8 @@
   std::unordered_map<RequestId, Open> open_;
   RequestId next_id_ = 1;
   std::uint64_t id_seed_;
-  // Ids of the last one to two spans of the longest deadline; those of open requests are among them.
+  // Ids of the last one to two spans of the longest deadline; those of open requests are among
+  // them.
   std::array<std::unordered_set<std::string>, 2> ids_;
   Micros ids_since_ = 0;
   std::size_t max_open_;
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -23,9 +23,10 @@
   std::string type;         ///< the name of its class in the settings
   std::string tenant;       ///< may be empty
   std::string idempotency;  ///< of a write; empty: repeating it is unsafe whatever its class says
+  bool keyed = false;       ///< the core's: servers drop repeats of it by that key
   Micros patience = 0;      ///< until the client gives up; held to the class's deadline
-  std::optional<std::int64_t> work;  ///< microseconds on a standard core
-  bool repeat = false;               ///< the client marked it as its own retry
+  std::optional<std::int64_t> work;          ///< microseconds on a standard core
+  bool repeat = false;                       ///< the client marked it as its own retry
   std::shared_ptr<const std::string> value;  ///< of a write
   /// What the binary protocol's clients keep beside a value, and how long it lives (0: for good).
   std::uint32_t flags = 0, expiry = 0;
@@ -55,7 +56,8 @@
   std::string value, receipt;
   std::uint32_t flags = 0;
   Micros come_back = 0;  ///< 0 = not told
-  bool missed = false;   ///< Failed, and the last server asked said that it holds nothing (aside mode)
+  bool missed =
+      false;  ///< Failed, and the last server asked said that it holds nothing (aside mode)
 };
 
 }  // namespace arrowfork
--- a/src/net/binary_rules.hpp
+++ b/src/net/binary_rules.hpp
@@ -19,7 +19,8 @@
   robinseam::Micros read_patience = 0, write_patience = 0;
   std::vector<std::pair<std::string, std::string>> tenants;  ///< key prefix, tenant
   std::string first_tenant;                                  ///< of keys with none of the prefixes
-  bool cas_is_idempotency_key = false;
+  bool cas_is_idempotency_key = false;                       ///< of clients' writes
+  bool cas_is_server_key = false;  ///< and of those sent to binary servers
 
   /// Servers that speak the binary protocol: those of which kind and id both fit.
   struct ServerRule {
--- a/src/net/client_codec.cpp
+++ b/src/net/client_codec.cpp
@@ -93,8 +93,7 @@
   }
 }
 
-std::string MetaClientCodec::reply(const CommandTag&, const Request& request,
-                                   Reply&& reply) const {
+std::string MetaClientCodec::reply(const CommandTag&, const Request& request, Reply&& reply) const {
   if (reply.kind == Reply::Kind::Failed) return "SERVER_ERROR failed\r\n";
   if (reply.kind == Reply::Kind::Refused)
     return "SERVER_ERROR " + busy_text(reply.come_back) + "\r\n";
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -128,9 +128,9 @@
                  (request.value ? request.value->size() : 0);
     if (request.line_before_wait.empty()) slot.bytes += binary::kHeader + request.key.size();
     hold_more(slot.bytes);
-    Core::Taken taken = over_limit_ ? Core::Taken::Busy
-                                    : side_.core_.take(std::move(request), slot, side_.carrier_,
-                                                       slot.id);
+    Core::Taken taken = over_limit_
+                            ? Core::Taken::Busy
+                            : side_.core_.take(std::move(request), slot, side_.carrier_, slot.id);
     if (taken != Core::Taken::Yes) side_.answer(slot, codec_->not_taken(slot.tag, taken));
   }
 
@@ -245,10 +245,10 @@
   void sweep(Micros now) {
     if (!held_.empty()) parse_held();  // others may have made room in the common budget
     update_reading();
-    Micros most = lingering_         ? kLingerTime
+    Micros most = lingering_            ? kLingerTime
                   : at_rest() && asked_ ? kIdleTime
-                  : slots_.empty()   ? kCommandTime
-                                     : Micros{0};
+                  : slots_.empty()      ? kCommandTime
+                                        : Micros{0};
     if ((most > 0 && out_.empty() && now - since_ > most) ||
         (stalled_since_ && now - stalled_since_ > kStallTime))
       side_.close(*this);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -139,7 +139,7 @@
   for (const auto& [name, value] : json.items())
     if (name != "clients" && name != "read_class" && name != "write_class" &&
         name != "read_deadline_ms" && name != "write_deadline_ms" && name != "tenants" &&
-        name != "idempotency" && name != "servers")
+        name != "idempotency" && name != "server_idempotency" && name != "servers")
       throw fail(name, "no such setting");
   BinaryRules rules;
   auto text = [&](const Json& from, const char* name, const std::string& path) -> std::string {
@@ -196,10 +196,14 @@
       rules.tenants.emplace_back(std::move(prefix), std::move(tenant));
     }
   }
-  std::string idempotency = text(json, "idempotency", "idempotency");
-  if (!idempotency.empty() && idempotency != "none" && idempotency != "cas")
-    throw fail("idempotency", "'" + idempotency + "' is neither none nor cas");
-  rules.cas_is_idempotency_key = idempotency == "cas";
+  auto cas_is_key = [&](const char* name) {
+    std::string value = text(json, name, name);
+    if (!value.empty() && value != "none" && value != "cas")
+      throw fail(name, "'" + value + "' is neither none nor cas");
+    return value == "cas";
+  };
+  rules.cas_is_idempotency_key = cas_is_key("idempotency");
+  rules.cas_is_server_key = cas_is_key("server_idempotency");
   if (auto it = json.find("servers"); it != json.end()) {
     if (!it->is_array() || it->size() > kMaxRules) throw fail("servers", "no list of at most 1000");
     for (const Json& one : *it) {
@@ -283,6 +287,10 @@
 Config load_config() {
   const char* path = std::getenv("NODE_CONFIG");
   if (!path || !*path) throw ConfigError("NODE_CONFIG: not set");
+  return load_config(std::string(path));
+}
+
+Config load_config(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::string text;
   char part[4096];
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -44,6 +44,8 @@
 /// Reads the file that NODE_CONFIG names. The other NODE_ variables say what it leaves out: they
 /// are those of the first start, while the file may have been replaced since. Throws ConfigError.
 Config load_config();
+/// The same of the file at `path`.
+Config load_config(const std::string& path);
 /// The file's text alone.
 Config parse_config(const std::string& json);
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -111,8 +111,8 @@
 void Router::reload(const Config& next) {
   if (!parse_address(next.discovery))
     throw ConfigError("discovery: no address: '" + next.discovery + "'");
-  const std::pair<const char*, const std::string&> types[] = {
-      {"read", next.binary.read_type}, {"write", next.binary.write_type}};
+  const std::pair<const char*, const std::string&> types[] = {{"read", next.binary.read_type},
+                                                              {"write", next.binary.write_type}};
   for (const auto& [what, type] : types)
     if (!type.empty() && !core_.class_of(type))
       throw ConfigError(std::string("binary.") + what + "_class: '" + type +
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -16,9 +16,9 @@
                      Expected& expected) const override {
     expected = {r.write, r.wants_flags, r.id, 0};
     char digits[24];
-    std::string_view wait(digits, static_cast<std::size_t>(
-                                      std::to_chars(digits, digits + sizeof digits, wait_ms).ptr -
-                                      digits));
+    std::string_view wait(digits,
+                          static_cast<std::size_t>(
+                              std::to_chars(digits, digits + sizeof digits, wait_ms).ptr - digits));
     std::string text;
     std::size_t value = r.value ? r.value->size() + 2 : 0;
     if (!r.line_before_wait.empty()) {
@@ -65,8 +65,10 @@
   /// flags for what a binary client keeps beside its value.
   static void compose(const Request& r, std::string_view wait, std::string& text) {
     text.append(r.write ? "ms " : "mg ").append(r.key);
-    if (r.write) text.append(" ").append(std::to_string(r.value->size()));
-    else text.append(" v");
+    if (r.write)
+      text.append(" ").append(std::to_string(r.value->size()));
+    else
+      text.append(" v");
     if (r.wants_flags) text.append(" f");
     if (r.flags) text.append(" F").append(std::to_string(r.flags));
     if (r.expiry) text.append(" T").append(std::to_string(r.expiry));
@@ -105,6 +107,8 @@
 /// Reads are sent as GETK, whose answer names the key, and every packet bears an opaque of its own.
 class BinaryServerCodec final : public ServerCodec {
  public:
+  explicit BinaryServerCodec(const bool& cas_is_key) : cas_is_key_(cas_is_key) {}
+
   std::string encode(const Request& r, std::int64_t, std::uint32_t opaque,
                      Expected& expected) const override {
     expected = {r.write, false, r.key, opaque};
@@ -113,6 +117,7 @@
     c.opaque = opaque;
     c.flags = r.flags;
     c.expiry = r.expiry;
+    if (cas_is_key_ && r.write && fits_cas(r.idempotency)) c.cas = cas_of(r.idempotency);
     c.key = r.key;
     if (r.value) c.value = *r.value;
     return binary::request(c);
@@ -159,17 +164,24 @@
     return e.write ? answer.key.empty() && answer.value.empty() : answer.key == e.name;
   }
 
+  const bool& cas_is_key_;
   binary::AnswerReader reader_;
 };
 
 }  // namespace
 
 std::unique_ptr<ServerCodec> ServerCodec::make(ServerProtocol protocol,
-                                               const std::vector<robinseam::ReportField>* fields) {
-  if (protocol == ServerProtocol::Binary) return std::make_unique<BinaryServerCodec>();
+                                               const std::vector<robinseam::ReportField>* fields,
+                                               const bool& cas_is_key) {
+  if (protocol == ServerProtocol::Binary) return std::make_unique<BinaryServerCodec>(cas_is_key);
   return std::make_unique<MetaServerCodec>(fields);
 }
 
+bool fits_cas(const std::string& key) {
+  std::uint64_t cas = cas_of(key);
+  return cas != 0 && receipt_of(cas) == key;
+}
+
 const char* name_of(ServerProtocol protocol) {
   return protocol == ServerProtocol::Binary ? "binary" : "meta";
 }
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -50,10 +50,15 @@
   /// Whether a connection that begins with `first` is that of the other protocol.
   virtual bool is_other_protocol(unsigned char first) const = 0;
 
+  /// `cas_is_key`: a binary server takes a write's CAS for its idempotency key; read with each one.
   static std::unique_ptr<ServerCodec> make(ServerProtocol protocol,
-                                           const std::vector<robinseam::ReportField>* fields);
+                                           const std::vector<robinseam::ReportField>* fields,
+                                           const bool& cas_is_key);
 };
 
+/// Whether an idempotency key can go over as a CAS and be told from every other key there.
+bool fits_cas(const std::string& key);
+
 const char* name_of(ServerProtocol protocol);
 
 }  // namespace arrowfork
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -51,7 +51,7 @@
   std::string dial;
   std::optional<sockaddr_in> address;
   ServerProtocol protocol = ServerProtocol::Meta;
-  bool proven = false;  // has given an answer of that protocol
+  bool proven = false;  // the last connection to begin an answer did so in that protocol
   Micros complained_at = 0;
   bool listed = false;  // named by discovery and not gone
   bool wanted = false;  // listed and ready, and nobody newer at its address
@@ -89,7 +89,7 @@
       : side_(side),
         pool_(pool),
         fd_(std::move(fd)),
-        codec_(ServerCodec::make(pool.protocol, side.fields_)),
+        codec_(ServerCodec::make(pool.protocol, side.fields_, side.rules_.cas_is_server_key)),
         used_at_(side.clock_.now()) {
     read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
     write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
@@ -184,7 +184,7 @@
     }
     used_at_ = side_.clock_.now();
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
-    if (!std::exchange(heard_, true) && !pool_.proven && codec_->is_other_protocol(in.front())) {
+    if (!std::exchange(heard_, true) && codec_->is_other_protocol(in.front())) {
       side_.wrong_protocol(*this);
       return;
     }
@@ -240,7 +240,7 @@
   Fd fd_;
   EventPtr read_, write_;
   std::unique_ptr<ServerCodec> codec_;
-  bool heard_ = false;  // bytes have come on it
+  bool heard_ = false;         // bytes have come on it
   std::deque<Entry> entries_;  // in the order of their answers
   std::size_t sent_ = 0;       // of them, written whole
   std::size_t partial_ = 0;    // bytes of the next one that are written
@@ -270,6 +270,17 @@
 void ServerSide::set_protocols(const BinaryRules& rules) {
   rules_ = rules;
   for (auto& [id, pool] : pools_) set_protocol(*pool);
+  note_binary();
+}
+
+void ServerSide::note_binary() {
+  any_binary_ = std::any_of(pools_.begin(), pools_.end(), [](const auto& entry) {
+    return entry.second->listed && entry.second->protocol == ServerProtocol::Binary;
+  });
+}
+
+bool ServerSide::keeps_key(const Request& request) const {
+  return !any_binary_ || (rules_.cas_is_server_key && fits_cas(request.idempotency));
 }
 
 /// What is out on a connection of the protocol that is no more spoken there would only be lost a
@@ -287,13 +298,14 @@
   while (!pool.connections.empty()) close(*pool.connections.back());
 }
 
-/// Only the connection's first bytes are taken for that, and only before the server has spoken the
-/// right protocol once: later it is noise like any other.
+/// Only the connection's first bytes are taken for that. Once from a server that has spoken the
+/// right protocol it may be noise like any other, so that is not told.
 void ServerSide::wrong_protocol(ServerConnection& c) {
   ++counts_.wrong_protocol;
   ServerPool& pool = c.pool_;
   Micros now = clock_.now();
-  if (!pool.complained_at || now - pool.complained_at > kComplainEvery) {
+  if (!std::exchange(pool.proven, false) &&
+      (!pool.complained_at || now - pool.complained_at > kComplainEvery)) {
     pool.complained_at = now;
     bool binary = pool.protocol == ServerProtocol::Binary;
     std::fprintf(stderr,
@@ -353,6 +365,7 @@
       if (!pool->wanted) c.retiring_ = true;
       if (c.retiring_ && c.idle()) close(c);
     }
+  note_binary();
   forget_gone();
 }
 
@@ -462,6 +475,9 @@
                       Micros wait) {
   auto at = pools_.find(server);
   bool wanted = at != pools_.end() && at->second->wanted;
+  // Taken when all servers kept its key; this one joined since and would not know a repeat.
+  if (wanted && request.keyed && at->second->protocol == ServerProtocol::Binary)
+    wanted = keeps_key(request);
   ServerConnection* c = wanted ? pick(*at->second) : nullptr;
   if (!c) {
     ++counts_.no_connection;
@@ -471,8 +487,8 @@
   ServerConnection::Entry e;
   e.id = id;
   e.attempt = attempt;
-  e.bytes = c->codec_->encode(request, (wait + kMillisecond - 1) / kMillisecond, ++opaque_,
-                              e.expected);
+  e.bytes =
+      c->codec_->encode(request, (wait + kMillisecond - 1) / kMillisecond, ++opaque_, e.expected);
   e.size = e.bytes.size();
   e.since = clock_.now();
   c->idle_before_ = c->idle() ? e.since - c->used_at_ : 0;
@@ -593,7 +609,8 @@
              now - c.entries_.back().since > limits_.dial_timeout) {
         ServerConnection::Entry e = std::move(c.entries_.back());
         c.entries_.pop_back();
-        if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, AttemptResult());
+        if (e.live)
+          handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, AttemptResult());
       }
       if (c.entries_.empty()) continue;
       const ServerConnection::Entry& head = c.entries_.front();
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -55,6 +55,9 @@
             Micros wait) override;
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt) override;
+  /// The binary protocol has no field for a key, so not while a listed server speaks it; but where
+  /// those servers take the CAS for it (`server_idempotency`), keys of its form pass.
+  bool keeps_key(const Request& request) const override;
   /// Counts since the start, for the log.
   struct Counts {
     std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
@@ -77,6 +80,7 @@
   void sweep();
   void forget_gone();
   void set_protocol(ServerPool& pool);
+  void note_binary();
   void wrong_protocol(ServerConnection& connection);
   /// How long a connection may stand idle as far as the settings tell.
   Micros idle_limit() const;
@@ -98,6 +102,7 @@
   Limits limits_;
   const std::vector<robinseam::ReportField>* fields_;
   BinaryRules rules_;
+  bool any_binary_ = false;  // a listed server speaks the binary protocol
   EventPtr sweep_event_;
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
--- a/src/protocol/binary.cpp
+++ b/src/protocol/binary.cpp
@@ -31,8 +31,8 @@
 }
 
 void store_header(std::string& to, unsigned char magic, std::uint8_t opcode, std::size_t key,
-                  std::size_t extras, std::uint16_t status, std::size_t value,
-                  std::uint32_t opaque, std::uint64_t cas) {
+                  std::size_t extras, std::uint16_t status, std::size_t value, std::uint32_t opaque,
+                  std::uint64_t cas) {
   to.reserve(kHeader + extras + key + value);
   store(to, magic);
   store(to, opcode);
--- a/src/protocol/binary.hpp
+++ b/src/protocol/binary.hpp
@@ -117,7 +117,8 @@
 /// The bytes of a request. Key at most kMaxKey bytes, value at most kMaxValue.
 std::string request(const Command& command);
 
-/// The bytes of a response. `flags` go out with a read's kOk alone, `key` where the opcode tells it.
+/// The bytes of a response. `flags` go out with a read's kOk alone, `key` where the opcode tells
+/// it.
 std::string response(Opcode opcode, std::uint16_t status, std::uint32_t opaque,
                      std::string_view value = {}, std::string_view key = {},
                      std::uint32_t flags = 0, std::uint64_t cas = 0);
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -24,7 +24,7 @@
   std::string before_d, after_d;  ///< the line without its end, on both sides of the figure of `d`
   std::string id, key, type, tenant;
   std::string idempotency;  ///< `k`; empty where the client gave none
-  double wait_ms = -1;  ///< `d`; negative where the client gave none
+  double wait_ms = -1;      ///< `d`; negative where the client gave none
   std::optional<std::int64_t> work;
   bool repeat = false;
   bool wants_flags = false;  ///< `f`: the answer must tell the flags kept beside the value
@@ -69,7 +69,7 @@
   std::string id;       ///< of `O`; may be empty where the line has none
   std::string receipt;  ///< of `HD`
   std::size_t length = 0;
-  std::string value;           ///< of `VA`
+  std::string value;                   ///< of `VA`
   std::optional<std::uint32_t> flags;  ///< `f`
   int note = 0;                ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
   std::vector<double> report;  ///< in the order of the settings' fields; NaN where not told
--- /dev/null
+++ b/src/rig/cache_server.cpp
@@ -0,0 +1,333 @@
+#include "cache_server.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+#include "../protocol/binary.hpp"
+#include "../protocol/meta.hpp"
+
+namespace arrowfork::rig {
+namespace {
+
+constexpr int kSlowFactor = 10;
+// The stand-in bounds its memory too: what is kept for the check of repeats is dropped beyond this.
+constexpr std::size_t kMostKept = 1u << 20;
+
+constexpr std::array<std::pair<const char*, Fault>, 11> kFaults{
+    {{"none", Fault::None},
+     {"slow", Fault::Slow},
+     {"silent", Fault::Silent},
+     {"full", Fault::Full},
+     {"failing", Fault::Failing},
+     {"spoilt", Fault::Spoilt},
+     {"reset", Fault::Reset},
+     {"half", Fault::Half},
+     {"other-key", Fault::OtherKey},
+     {"wrong-protocol", Fault::WrongProtocol},
+     {"refusing", Fault::Refusing}}};
+
+std::string hex16(std::uint64_t n) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(n));
+  return text;
+}
+
+}  // namespace
+
+Fault fault_of(const std::string& name) {
+  for (const auto& [known, fault] : kFaults)
+    if (name == known) return fault;
+  throw std::invalid_argument("no fault '" + name + "'");
+}
+
+const char* name_of(Fault fault) {
+  for (const auto& [known, one] : kFaults)
+    if (one == fault) return known;
+  return "";
+}
+
+Origin::Item Origin::read(const std::string& key) const {
+  auto at = items_.find(key);
+  return at == items_.end() ? Item{"price of " + key, 0} : at->second;
+}
+
+std::string Origin::write(const std::string& key, Item item, const std::string& idempotency) {
+  if (by_idempotency_.size() > kMostKept) by_idempotency_.clear();
+  if (runs_.size() > kMostKept) runs_.clear();
+  if (!idempotency.empty()) {
+    auto at = by_idempotency_.find(idempotency);
+    if (at != by_idempotency_.end()) return at->second;
+  }
+  ran_twice_ += ++runs_[key + '\n' + item.value] == 2;
+  items_[key] = std::move(item);
+  std::string receipt = hex16(++receipts_);
+  if (!idempotency.empty()) by_idempotency_[idempotency] = receipt;
+  return receipt;
+}
+
+/// Commands are begun as they come, each takes the service time, and answers go out in order.
+class CacheServer::Connection {
+ public:
+  Connection(CacheServer& server, Fd fd) : server_(server), fd_(std::move(fd)), meta_(true) {
+    read_.reset(event_new(server.base_, fd_.get(), EV_READ | EV_PERSIST, on_read, this));
+    write_.reset(event_new(server.base_, fd_.get(), EV_WRITE, on_write, this));
+    timer_.reset(event_new(server.base_, -1, 0, on_write, this));
+    event_add(read_.get(), nullptr);
+  }
+
+  void reset() {
+    linger now{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd_.reset();
+  }
+
+ private:
+  struct Due {
+    Micros at;
+    std::string bytes;
+    enum class Then { Go, End, Reset } then = Then::Go;
+  };
+
+  static void on_read(evutil_socket_t, short, void* self) {
+    auto* c = static_cast<Connection*>(self);
+    char data[65536];
+    ssize_t got = ::recv(c->fd_.get(), data, sizeof data, MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+    if (got <= 0) {
+      c->server_.close(*c);
+      return;
+    }
+    std::string_view in(data, static_cast<std::size_t>(got));
+    if (!c->chosen_) {
+      c->chosen_ = true;
+      c->binary_ = static_cast<unsigned char>(in.front()) == binary::kRequestMagic;
+      ++(c->binary_ ? c->server_.counts_.binary : c->server_.counts_.meta);
+    }
+    c->binary_ ? c->take_binary(in) : c->take_meta(in);
+    c->pump();
+  }
+
+  static void on_write(evutil_socket_t, short, void* self) {
+    static_cast<Connection*>(self)->pump();
+  }
+
+  Fault fault() const { return server_.fault_; }
+
+  void owe(std::string bytes, Due::Then then = Due::Then::Go) {
+    Micros service = server_.options_.service * (fault() == Fault::Slow ? kSlowFactor : 1);
+    due_.push_back({server_.clock_.now() + service, std::move(bytes), then});
+  }
+
+  /// An answer as the fault has it. Nothing of it where nothing is to come.
+  void owe_answer(std::string bytes) {
+    switch (fault()) {
+      case Fault::Silent:
+        return;
+      case Fault::Spoilt:
+        for (char& c : bytes) c = server_.noise();
+        return owe(bytes + "\r\n");
+      case Fault::Reset:
+        return owe({}, Due::Then::Reset);
+      case Fault::Half:
+        bytes.resize(bytes.size() / 2);
+        return owe(std::move(bytes), Due::Then::End);
+      default:
+        return owe(std::move(bytes));
+    }
+  }
+
+  void unreadable(std::string told) {
+    ++server_.counts_.unreadable;
+    owe(std::move(told), Due::Then::End);
+  }
+
+  bool held(const std::string& key) const {
+    return !server_.options_.aside || server_.held_.count(key) > 0;
+  }
+
+  void take_meta(std::string_view in) {
+    if (!server_.options_.meta || fault() == Fault::WrongProtocol)
+      return unreadable(
+          binary::response(binary::Opcode::Noop, binary::status::kInvalid, 0, "bad magic"));
+    while (!in.empty()) {
+      Command c;
+      auto got = meta_.take(in, c);
+      if (got == CommandReader::Got::Nothing) return;
+      if (got == CommandReader::Got::Noop) {
+        owe("MN\r\n");
+        continue;
+      }
+      if (got == CommandReader::Got::Broken || got == CommandReader::Got::Unknown)
+        return unreadable("ERROR\r\n");
+      if (got != CommandReader::Got::Command) return unreadable("CLIENT_ERROR bad\r\n");
+      ++server_.counts_.begun;
+      std::string id = fault() == Fault::OtherKey ? "of-another" : c.id;
+      if (fault() == Fault::Full || fault() == Fault::Failing) {
+        owe(fault() == Fault::Full ? "SERVER_ERROR busy 20\r\n" : "SERVER_ERROR failed\r\n");
+      } else if (c.set) {
+        ++server_.counts_.writes;
+        std::string receipt = write(c.key, {*c.value, c.flags}, c.idempotency);
+        owe_answer("HD O" + id + " c" + receipt + "\r\n");
+      } else if (!held(c.key)) {
+        owe_answer("EN\r\n");
+      } else {
+        ++server_.counts_.reads;
+        Origin::Item item = server_.origin_.read(c.key);
+        std::string text = "VA " + std::to_string(item.value.size());
+        if (c.wants_flags) text += " f" + std::to_string(item.flags);
+        owe_answer(text + " O" + id + " h1\r\n" + item.value + "\r\n");
+      }
+    }
+  }
+
+  void take_binary(std::string_view in) {
+    using binary::Opcode;
+    if (!server_.options_.binary || fault() == Fault::WrongProtocol) return unreadable("ERROR\r\n");
+    while (!in.empty()) {
+      binary::Command c;
+      auto got = binary_reader_.take(in, c);
+      if (got == binary::CommandReader::Got::Nothing) return;
+      if (got == binary::CommandReader::Got::Broken)
+        return unreadable(binary::response(c.opcode, binary_reader_.refused(), c.opaque));
+      if (got == binary::CommandReader::Got::Refused) {
+        owe(binary::response(c.opcode, binary_reader_.refused(), c.opaque));
+        continue;
+      }
+      ++server_.counts_.begun;
+      if (fault() == Fault::Full || fault() == Fault::Failing) {
+        owe(binary::response(
+            c.opcode, fault() == Fault::Full ? binary::status::kBusy : binary::status::kInternal,
+            c.opaque, fault() == Fault::Full ? "busy 20" : "failed"));
+        continue;
+      }
+      bool other = fault() == Fault::OtherKey;
+      std::uint32_t opaque = c.opaque + (other ? 1 : 0);
+      if (binary::is_write(c.opcode)) {
+        ++server_.counts_.writes;
+        bool keyed = server_.options_.cas_is_key && c.cas != 0;
+        std::string receipt = write(c.key, {c.value, c.flags}, keyed ? hex16(c.cas) : "");
+        std::uint64_t cas = std::stoull(receipt, nullptr, 16);
+        if (c.opcode == Opcode::Set)
+          owe_answer(binary::response(c.opcode, binary::status::kOk, opaque, {}, {}, 0, cas));
+      } else if (binary::is_read(c.opcode) && !held(c.key)) {
+        if (!binary::is_quiet(c.opcode))
+          owe_answer(binary::response(c.opcode, binary::status::kNotFound, opaque, "not found"));
+      } else if (binary::is_read(c.opcode)) {
+        ++server_.counts_.reads;
+        Origin::Item item = server_.origin_.read(c.key);
+        owe_answer(binary::response(c.opcode, binary::status::kOk, opaque, item.value,
+                                    other ? "of-another" : c.key, item.flags));
+      } else {
+        owe(binary::response(c.opcode, binary::status::kOk, c.opaque));
+      }
+    }
+  }
+
+  std::string write(const std::string& key, Origin::Item item, const std::string& idempotency) {
+    if (server_.options_.aside && server_.held_.size() < kMostKept) server_.held_[key] = item;
+    return server_.origin_.write(key, std::move(item), idempotency);
+  }
+
+  /// Writes what is due, and sleeps until more is.
+  void pump() {
+    while (true) {
+      while (!due_.empty() && due_.front().at <= server_.clock_.now() && !ending_) {
+        Due due = std::move(due_.front());
+        due_.pop_front();
+        if (due.then == Due::Then::Reset) {
+          reset();
+          server_.close(*this);
+          return;
+        }
+        out_ += due.bytes;
+        ending_ = due.then == Due::Then::End;
+      }
+      if (out_.empty()) break;
+      ssize_t put = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (put < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        event_add(write_.get(), nullptr);
+        return;
+      }
+      if (put < 0) {
+        server_.close(*this);
+        return;
+      }
+      out_.erase(0, static_cast<std::size_t>(put));
+    }
+    if (ending_) {
+      server_.close(*this);
+      return;
+    }
+    if (due_.empty()) return;
+    timeval wait = timeval_of(std::max<Micros>(0, due_.front().at - server_.clock_.now()));
+    event_add(timer_.get(), &wait);
+  }
+
+  friend class CacheServer;
+  CacheServer& server_;
+  Fd fd_;
+  EventPtr read_, write_, timer_;
+  bool chosen_ = false, binary_ = false, ending_ = false;
+  CommandReader meta_;
+  binary::CommandReader binary_reader_;
+  std::deque<Due> due_;
+  std::string out_;
+};
+
+CacheServer::CacheServer(event_base* base, const TimeSource& clock, Origin& origin, Options options,
+                         std::uint16_t port)
+    : base_(base), clock_(clock), origin_(origin), options_(options), noise_(options.seed) {
+  auto address = parse_address("127.0.0.1:" + std::to_string(port));
+  listener_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  int on = 1;
+  socklen_t size = sizeof *address;
+  auto* raw = reinterpret_cast<sockaddr*>(&*address);
+  if (!listener_ || ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(listener_.get(), raw, size) != 0 || ::listen(listener_.get(), SOMAXCONN) != 0 ||
+      ::getsockname(listener_.get(), raw, &size) != 0)
+    throw std::runtime_error("cache server: " + std::string(std::strerror(errno)));
+  port_ = ntohs(address->sin_port);
+  accept_event_.reset(event_new(base_, listener_.get(), EV_READ | EV_PERSIST, on_accept, this));
+  event_add(accept_event_.get(), nullptr);
+}
+
+CacheServer::~CacheServer() = default;
+
+char CacheServer::noise() {  // Knuth's MMIX generator
+  noise_ = noise_ * 6364136223846793005ULL + 1442695040888963407ULL;
+  return static_cast<char>('a' + (noise_ >> 33) % 26);
+}
+
+void CacheServer::set_fault(Fault fault) {
+  fault_ = fault;
+  if (fault != Fault::Refusing) return;
+  for (auto& c : connections_) c->reset();
+  connections_.clear();
+}
+
+void CacheServer::on_accept(evutil_socket_t, short, void* self) {
+  auto* s = static_cast<CacheServer*>(self);
+  Fd fd(::accept4(s->listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (!fd) return;
+  int on = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  ++s->counts_.connections;
+  s->connections_.push_back(std::make_unique<Connection>(*s, std::move(fd)));
+  if (s->fault_ == Fault::Refusing) {
+    s->connections_.back()->reset();
+    s->connections_.pop_back();
+  }
+}
+
+void CacheServer::close(Connection& c) {
+  std::erase_if(connections_, [&](const auto& one) { return one.get() == &c; });
+}
+
+}  // namespace arrowfork::rig
