--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -117,10 +117,8 @@
 }
 
 void Core::give_reply(Open& open, Reply&& reply) {
-  if (reply.kind == Reply::Kind::Failed) {
-    ++counts_.failed;
-    reply.missed = open.missed;
-  }
+  counts_.failed += reply.kind == Reply::Kind::Failed;
+  reply.missed = reply.kind != Reply::Kind::Served && open.missed;
   open.answered = true;
   if (ReplySink* sink = std::exchange(open.sink, nullptr))
     sink->on_reply(open.request, std::move(reply));
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -56,8 +56,8 @@
   std::string value, receipt;
   std::uint32_t flags = 0;
   Micros come_back = 0;  ///< 0 = not told
-  bool missed =
-      false;  ///< Failed, and the last server asked said that it holds nothing (aside mode)
+  /// Not served, and the last server asked holds nothing (aside mode).
+  bool missed = false;
 };
 
 }  // namespace arrowfork
--- a/src/net/client_codec.cpp
+++ b/src/net/client_codec.cpp
@@ -188,13 +188,13 @@
 
 std::string BinaryClientCodec::reply(const CommandTag& tag, const Request& request,
                                      Reply&& reply) const {
-  if (reply.kind == Reply::Kind::Refused)
-    return binary::response(tag.opcode, binary::status::kBusy, tag.opaque,
-                            busy_text(reply.come_back));
-  if (reply.kind == Reply::Kind::Failed && reply.missed && !request.write)
+  if (reply.missed && !request.write)
     return binary::is_quiet(tag.opcode)
                ? std::string()
                : binary::response(tag.opcode, binary::status::kNotFound, tag.opaque, "not found");
+  if (reply.kind == Reply::Kind::Refused)
+    return binary::response(tag.opcode, binary::status::kBusy, tag.opaque,
+                            busy_text(reply.come_back));
   if (reply.kind == Reply::Kind::Failed)
     return binary::response(tag.opcode, binary::status::kInternal, tag.opaque, "failed");
   if (!request.write)
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -880,6 +880,7 @@
     broken |= outlier(last);  // the fault is that server's alone
     double price = broken ? kPriceBroken : why == Status::Full ? kPriceUnseen : kPriceFull;
     bool time_left = o.deadline - now > 2 * set.tick;
+    if (why == Status::Miss && is_origin(last)) return finish(o);  // nobody else has it either
     if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
     // A fetch that failed ends in an error, and another server would only ask the origin once more:
     // what jams it. Errors are worth a retry where they come from one server and not from others.
--- /dev/null
+++ b/tests/binary/talk.hpp
@@ -0,0 +1,195 @@
+// Clients and cache servers of either protocol over one blocking connection, so that a test can be
+// written once for both.
+#pragma once
+
+#include <charconv>
+
+#include "../loopback.hpp"
+#include "net/client_codec.hpp"
+#include "protocol/binary.hpp"
+
+namespace arrowfork::test {
+
+enum class Speaks { Meta, Binary };
+inline const char* name_of(Speaks s) { return s == Speaks::Binary ? "binary" : "meta"; }
+
+/// The size of the first packet in `text`; 0 where none is whole.
+inline std::size_t whole_packet(std::string_view text) {
+  if (text.size() < binary::kHeader) return 0;
+  std::size_t body = 0;
+  for (int k = 8; k < 12; ++k) body = body << 8 | static_cast<unsigned char>(text[k]);
+  return text.size() < binary::kHeader + body ? 0 : binary::kHeader + body;
+}
+inline std::string read_packet(Link& link) {
+  std::string packet = link.bytes(binary::kHeader);
+  if (packet.size() < binary::kHeader) return packet;
+  std::size_t body = 0;
+  for (int k = 8; k < 12; ++k) body = body << 8 | static_cast<unsigned char>(packet[k]);
+  return packet + link.bytes(body);
+}
+inline binary::Command command_of(const std::string& packet) {
+  binary::CommandReader reader;
+  binary::Command command;
+  std::string_view in = packet;
+  EXPECT_EQ(reader.take(in, command), binary::CommandReader::Got::Command);
+  return command;
+}
+inline binary::Answer answer_of(const std::string& packet) {
+  binary::AnswerReader reader;
+  binary::Answer answer;
+  std::string_view in = packet;
+  EXPECT_EQ(reader.take(in, answer), binary::AnswerReader::Got::Answer);
+  return answer;
+}
+inline binary::Answer read_answer(Link& link) { return answer_of(read_packet(link)); }
+inline std::string packet(binary::Opcode opcode, std::uint32_t opaque, const std::string& key = "",
+                          const std::string& value = "", std::uint32_t flags = 0,
+                          std::uint64_t cas = 0) {
+  binary::Command c;
+  c.opcode = opcode;
+  c.opaque = opaque;
+  c.key = key;
+  c.value = value;
+  c.flags = flags;
+  c.cas = cas;
+  return binary::request(c);
+}
+inline std::string served(const binary::Command& c, const std::string& value,
+                          std::uint32_t flags = 0) {
+  return binary::response(c.opcode, binary::status::kOk, c.opaque, value, c.key, flags);
+}
+
+/// What a server was asked.
+struct Asked {
+  bool write = false;
+  std::string key, value, idempotency;
+  std::uint32_t flags = 0;
+  std::string id;          // meta
+  binary::Command packet;  // binary
+};
+
+class ServerTalk {
+ public:
+  explicit ServerTalk(Speaks speaks) : speaks_(speaks) {}
+
+  Asked read(Link& link) const {
+    Asked a;
+    if (speaks_ == Speaks::Binary) {
+      a.packet = command_of(read_packet(link));
+      a.write = binary::is_write(a.packet.opcode);
+      a.key = a.packet.key;
+      a.value = a.packet.value;
+      a.flags = a.packet.flags;
+      if (a.packet.cas) a.idempotency = receipt_of(a.packet.cas);
+      return a;
+    }
+    std::string text = link.line();
+    if (text.starts_with("ms ")) {
+      std::size_t from = text.find(' ', 3) + 1;
+      text += link.bytes(std::strtoul(text.c_str() + from, nullptr, 10) + 2);
+    }
+    CommandReader reader(true);
+    Command c;
+    std::string_view in = text;
+    EXPECT_EQ(reader.take(in, c), CommandReader::Got::Command) << text;
+    a.write = c.set;
+    a.key = c.key;
+    a.id = c.id;
+    a.flags = c.flags;
+    a.idempotency = c.idempotency;
+    if (c.value) a.value = *c.value;
+    return a;
+  }
+  void serve(Link& link, const Asked& a, const std::string& value, std::uint32_t flags) const {
+    if (speaks_ == Speaks::Binary)
+      link.write(served(a.packet, value, flags));
+    else
+      link.write(value_answer(a.id, value).insert(3 + std::to_string(value.size()).size(),
+                                                  " f" + std::to_string(flags)));
+  }
+  void store(Link& link, const Asked& a, const std::string& receipt) const {
+    if (speaks_ == Speaks::Binary)
+      link.write(binary::response(a.packet.opcode, binary::status::kOk, a.packet.opaque, {}, {}, 0,
+                                  cas_of(receipt)));
+    else
+      link.write("HD O" + a.id + " c" + receipt + "\r\n");
+  }
+  void busy(Link& link, const Asked& a) const { error(link, a, binary::status::kBusy, "busy 9"); }
+  void fail(Link& link, const Asked& a) const {
+    error(link, a, binary::status::kInternal, "failed");
+  }
+
+ private:
+  void error(Link& link, const Asked& a, std::uint16_t status, const std::string& text) const {
+    if (speaks_ == Speaks::Binary)
+      link.write(binary::response(a.packet.opcode, status, a.packet.opaque, text));
+    else
+      link.write("SERVER_ERROR " + text + "\r\n");
+  }
+  Speaks speaks_;
+};
+
+/// What a client was told, in words that both protocols have.
+struct Told {
+  std::string what;  ///< "value", "receipt", "refused", "failed", "missed", or what can't be read
+  std::string text;
+  std::uint32_t flags = 0;
+  long wait_ms = 0;
+};
+
+class ClientTalk {
+ public:
+  explicit ClientTalk(Speaks speaks) : speaks_(speaks) {}
+
+  void get(Link& link, const std::string& key, const std::string& id) {
+    if (speaks_ == Speaks::Binary)
+      link.write(packet(binary::Opcode::GetK, ++opaque_, key));
+    else
+      link.write("mg " + key + " v f O" + id + " Pc=read,t=acme,d=20000\r\n");
+  }
+  /// `idempotency`: 16 hex digits or none.
+  void set(Link& link, const std::string& type, const std::string& key, const std::string& value,
+           std::uint32_t flags, const std::string& idempotency, const std::string& id) {
+    if (speaks_ == Speaks::Binary) {
+      link.write(packet(binary::Opcode::Set, ++opaque_, key, value, flags, cas_of(idempotency)));
+      return;
+    }
+    std::string line = "ms " + key + " " + std::to_string(value.size());
+    if (flags) line += " F" + std::to_string(flags);
+    line += " O" + id + " Pc=" + type + ",t=acme,d=20000";
+    if (!idempotency.empty()) line += ",k=" + idempotency;
+    link.write(line + "\r\n" + value + "\r\n");
+  }
+  Told told(Link& link) {
+    Told t;
+    if (speaks_ == Speaks::Meta) {
+      AnswerReader reader(&no_fields_);
+      std::string text = link.line();
+      if (text.starts_with("VA ")) text += link.bytes(std::strtoul(&text[3], nullptr, 10) + 2);
+      std::string_view in = text;
+      Answer a;
+      if (reader.take(in, a) != AnswerReader::Got::Answer) return {"unreadable", text};
+      if (a.kind == Answer::Kind::Value) return {"value", a.value, a.flags.value_or(0)};
+      if (a.kind == Answer::Kind::Stored) return {"receipt", a.receipt};
+      if (a.kind != Answer::Kind::Busy) return {"failed", ""};
+      return {"refused", "", 0, std::atol(text.c_str() + std::string("SERVER_ERROR busy ").size())};
+    }
+    binary::Answer a = read_answer(link);
+    EXPECT_EQ(a.opaque, ++answered_);
+    if (a.status == binary::status::kNotFound) return {"missed", ""};
+    if (a.status == binary::status::kInternal) return {"failed", ""};
+    if (a.status == binary::status::kBusy)
+      return {"refused", "", 0, std::atol(a.value.c_str() + std::string("busy ").size())};
+    if (a.status != binary::status::kOk) return {"status " + std::to_string(a.status), a.value};
+    if (a.opcode == static_cast<std::uint8_t>(binary::Opcode::Set))
+      return {"receipt", receipt_of(a.cas)};
+    return {"value", a.value, a.flags};
+  }
+
+ private:
+  Speaks speaks_;
+  const std::vector<robinseam::ReportField> no_fields_;
+  std::uint32_t opaque_ = 0, answered_ = 0;
+};
+
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/drill_lines.hpp
@@ -0,0 +1,21 @@
+// The calls on the module and what it answered, as lines.
+#pragma once
+
+#include <string>
+
+#include "core/core.hpp"
+#include "wire.hpp"
+
+namespace arrowfork::test {
+
+struct DrillLines final : SeamTap {
+  void on_call(Micros now, const char* call, RequestId id,
+               const robinseam::Actions& actions) override {
+    lines += std::to_string(now) + ' ' + call + ' ' + std::to_string(id) + '\n';
+    for (const robinseam::Action& action : actions)
+      lines += "  " + robinseam::drill::line_of(action) + '\n';
+  }
+  std::string lines;
+};
+
+}  // namespace arrowfork::test
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -139,16 +139,20 @@
   return 0;
 }
 
-/// A cache server on a thread of its own that answers each read line with what `answer` makes of
-/// it.
+/// The size of the first line in `text`, its end included; 0 where none is whole.
+inline std::size_t whole_line(std::string_view text) { return text.find('\n') + 1; }
+
+/// A cache server on a thread of its own that answers each line, or what else `whole` finds in its
+/// bytes, with what `answer` makes of it. An empty answer ends the connection.
 class ServingPeer {
  public:
-  explicit ServingPeer(std::function<std::string(const std::string&)> answer) {
+  explicit ServingPeer(std::function<std::string(const std::string&)> answer,
+                       std::size_t (*whole)(std::string_view) = whole_line) {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) ADD_FAILURE() << "pipe";
     end_ = Fd(ends[1]);
     address_ = peer_.address();
-    thread_ = std::thread([this, answer = std::move(answer), in = ends[0]] {
+    thread_ = std::thread([this, answer = std::move(answer), whole, in = ends[0]] {
       Fd end(in);
       std::vector<std::pair<Fd, std::string>> links;
       while (true) {
@@ -159,7 +163,7 @@
         for (std::size_t k = links.size(); k-- > 0;) {
           if (!fds[k + 2].revents) continue;
           auto& [fd, unread] = links[k];
-          char data[4096];
+          char data[65536];
           ssize_t got = ::recv(fd.get(), data, sizeof data, 0);
           if (got <= 0) {
             links.erase(links.begin() + static_cast<std::ptrdiff_t>(k));
@@ -167,9 +171,9 @@
           }
           unread.append(data, static_cast<std::size_t>(got));
           bool open = true;
-          for (std::size_t at; open && (at = unread.find('\n')) != unread.npos;) {
-            std::string text = answer(unread.substr(0, at + 1));
-            unread.erase(0, at + 1);
+          for (std::size_t size; open && (size = whole(unread)) != 0;) {
+            std::string text = answer(unread.substr(0, size));
+            unread.erase(0, size);
             open = !text.empty();
             ::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL);
           }
@@ -194,9 +198,10 @@
 };
 
 inline std::string host_json(const std::string& id, const std::string& dial,
-                             const std::string& health = "active", long long born_ms = 0) {
-  return R"({"host":")" + id + R"(","dial":")" + dial +
-         R"(","site":"a","class":"std","block":0,"health":")" + health +
+                             const std::string& health = "active", long long born_ms = 0,
+                             const std::string& kind = "std") {
+  return R"({"host":")" + id + R"(","dial":")" + dial + R"(","site":"a","class":")" + kind +
+         R"(","block":0,"health":")" + health +
          R"(","share":1.0,"born_ms":)" + std::to_string(born_ms) + "}";
 }
 
@@ -217,17 +222,21 @@
   bool may_cancel = true;
   long long keepalive_us = 15'000'000;
   long long dial_timeout_us = 75'000;
+  std::string binary;         // the object, where there is one
+  std::string origin_kind;    // aside mode, with this kind as its origin
 
   std::string text() const {
     return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discovery +
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":128,"sockets":)" +
            std::to_string(sockets) + R"(},"known":)" + list_json(1, true, hosts) +
-           R"(,"settings":{"Az":"a","Balancers":)" + std::to_string(routers) +
+           (binary.empty() ? "" : R"(,"binary":)" + binary) +
+           R"(,"settings":{"Az":"a","Tenants":[{"Name":"acme","Portion":0.5},{"Name":"zeta","Portion":0.5}],"Balancers":)" + std::to_string(routers) +
            R"(,"Classes":[
              {"Name":"read","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"repeatable","Worth":3.0},
              {"Name":"put","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"by_key","Group":"all","KeyTtlUs":5000000,"Worth":2.0},
              {"Name":"pay","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"once","Worth":2.0}],
-             "FailureDomains":["a"],"MachineTypes":["std"],"Domain":{"Mode":"through","OriginKind":-1},
+             "FailureDomains":["a"],"MachineTypes":["std","ledger"],"Domain":{"Mode":")" +
+           (origin_kind.empty() ? R"(through","OriginKind":-1)" : R"(aside","OriginKind":1)") + R"(},
              "Limits":{"MaxAttempts":5,"MaxRetryAfterUs":1000000,"MayCancel":)" +
            (may_cancel ? "true" : "false") + R"(,"SecondCopies":false,"StreamsPerConn":)" +
            std::to_string(streams) + R"(,"KeepaliveUs":)" + std::to_string(keepalive_us) +
@@ -242,17 +251,20 @@
 /// A router on a thread of its own, ended without a drain unless terminate() is called.
 class RunningRouter {
  public:
-  explicit RunningRouter(const ConfigText& config) {
+  /// `clock` and `tap` outlive it.
+  explicit RunningRouter(const ConfigText& config, const TimeSource* clock = nullptr,
+                         SeamTap* tap = nullptr) {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) ADD_FAILURE() << "pipe";
     orders_ = Fd(ends[1]);
     std::promise<std::uint16_t> port;
     auto known = port.get_future();
-    thread_ = std::thread([this, config, in = ends[0], &port] {
+    thread_ = std::thread([this, config, in = ends[0], &port, clock, tap] {
       Fd order(in);
       EventBasePtr base(event_base_new());
-      Clock clock;
-      Router router(base.get(), parse_config(config.text()), clock);
+      Clock own;
+      Router router(base.get(), parse_config(config.text()), clock ? *clock : own);
+      router.core().set_tap(tap);
       std::string error;
       if (!router.listen(error)) ADD_FAILURE() << error;
       struct Told {
