--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -132,7 +132,12 @@
 
   void flush() {
     if (connecting_) return;
-    while (sent_ < entries_.size()) {
+    // Where servers may be configured for the wrong protocol, one attempt a connection is what that
+    // may cost: the others wait for the first answer, and go elsewhere unsent if it is none.
+    std::size_t most = side_.rules_.any() && !pool_.proven
+                           ? std::max<std::size_t>(1, sent_ + (partial_ > 0))
+                           : entries_.size();
+    while (sent_ < std::min(most, entries_.size())) {
       iovec parts[64];
       int count = 0;
       std::size_t skip = partial_;
@@ -142,7 +147,8 @@
         if (from == bytes.size()) return;
         parts[count++] = {const_cast<char*>(bytes.data()) + from, bytes.size() - from};
       };
-      for (std::size_t k = sent_; k < entries_.size() && count < 64; ++k) add(entries_[k].bytes);
+      for (std::size_t k = sent_; k < std::min(most, entries_.size()) && count < 64; ++k)
+        add(entries_[k].bytes);
       msghdr message{};
       message.msg_iov = parts;
       message.msg_iovlen = static_cast<std::size_t>(count);
@@ -200,7 +206,8 @@
         return;
       }
       bool last = answer.last;
-      pool_.proven |= !last;
+      if (!last && !std::exchange(pool_.proven, true))
+        for (auto& c : pool_.connections) side_.touch(*c);
       Entry done = std::move(entries_.front());
       entries_.pop_front();
       --sent_;
@@ -395,9 +402,6 @@
 
 ServerConnection* ServerSide::least_loaded(const ServerPool& pool, bool established) const {
   ServerConnection* best = nullptr;
-  // Where servers may be configured for the wrong protocol, one attempt a connection is what that
-  // may cost.
-  if (!rules_.servers.empty() && !pool.proven) return nullptr;
   for (auto& c : pool.connections)
     if (!c->retiring_ && !(established && c->connecting_) &&
         (c->entries_.empty() || c->entries_.front().live) &&
--- a/tests/binary/codec_test.cpp
+++ b/tests/binary/codec_test.cpp
@@ -1,10 +1,10 @@
 // The binary codec: every packet whole and cut at every byte, its bounds, and random bytes.
-#include "protocol/binary.hpp"
-
 #include <gtest/gtest.h>
 
 #include <random>
 
+#include "protocol/binary.hpp"
+
 namespace arrowfork::binary {
 namespace {
 
@@ -99,21 +99,16 @@
                      header(0x05, 1, 20, 21) + std::string(21, 'i') +  // INCREMENT
                      header(0xee, 0, 0, 3) + "abc" + header(0x00, 0, 0, 0) +
                      header(0x01, 1, 8, 9 + kMaxValue + 1) + std::string(9 + kMaxValue + 1, 'v') +
-                     header(0x00, 251, 0, 251) + std::string(251, 'k') +
-                     packet(Opcode::Noop, 3) + packet(Opcode::Stat, 4) + packet(Opcode::Quit, 5);
-  const std::vector<std::string> due = {"13/1 a  0 0 0",
-                                        "17/2 b " + value + " 0 0 0",
-                                        "5/9 status 131",
-                                        "238/9 status 129",
-                                        "0/9 status 4",
-                                        "1/9 status 3",
-                                        "0/9 status 4",
-                                        "10/3   0 0 0",
-                                        "16/4   0 0 0",
-                                        "7/5   0 0 0"};
+                     header(0x00, 251, 0, 251) + std::string(251, 'k') + packet(Opcode::Noop, 3) +
+                     packet(Opcode::Stat, 4) + packet(Opcode::Quit, 5);
+  const std::vector<std::string> due = {"13/1 a  0 0 0",  "17/2 b " + value + " 0 0 0",
+                                        "5/9 status 131", "238/9 status 129",
+                                        "0/9 status 4",   "1/9 status 3",
+                                        "0/9 status 4",   "10/3   0 0 0",
+                                        "16/4   0 0 0",   "7/5   0 0 0"};
   EXPECT_EQ(commands_of(text, {}), due);
   std::size_t bulk = 400, skip_to = text.size() - 400;  // the long value is cut at some places only
-  for (std::size_t cut = 1; cut < text.size(); cut += cut > bulk && cut < skip_to ? 997 : 1)
+  for (std::size_t cut = 1; cut<text.size(); cut += cut> bulk && cut < skip_to ? 997 : 1)
     ASSERT_EQ(commands_of(text, {cut}), due) << "cut at " << cut;
   std::vector<std::size_t> every;
   for (std::size_t cut = 1; cut < bulk; ++cut) every.push_back(cut);
@@ -142,11 +137,11 @@
 
 TEST(BinaryCommandReader, LengthsMustBeThoseOfTheOpcode) {
   const std::vector<std::string> bad[] = {
-      commands_of(header(0x00, 1, 4, 5) + "xxxxk", {}),      // GET with extras
-      commands_of(header(0x00, 1, 0, 4) + "kval", {}),       // GET with a value
-      commands_of(header(0x01, 1, 4, 5) + "xxxxk", {}),      // SET with half its extras
-      commands_of(header(0x01, 0, 8, 9) + "xxxxxxxxv", {}),  // SET with no key
-      commands_of(header(0x0a, 0, 0, 1) + "x", {}),          // NOOP with a body
+      commands_of(header(0x00, 1, 4, 5) + "xxxxk", {}),                 // GET with extras
+      commands_of(header(0x00, 1, 0, 4) + "kval", {}),                  // GET with a value
+      commands_of(header(0x01, 1, 4, 5) + "xxxxk", {}),                 // SET with half its extras
+      commands_of(header(0x01, 0, 8, 9) + "xxxxxxxxv", {}),             // SET with no key
+      commands_of(header(0x0a, 0, 0, 1) + "x", {}),                     // NOOP with a body
       commands_of(header(0x00, 1, 0, 1, kRequestMagic, 1) + "k", {})};  // a data type
   for (const auto& seen : bad) {
     ASSERT_EQ(seen.size(), 1u);
--- /dev/null
+++ b/tests/binary/rules_config_test.cpp
@@ -0,0 +1,111 @@
+// The configuration's `binary` object: what it gives, and that each slip is named.
+#include "../loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+BinaryRules rules_of(const std::string& binary) {
+  ConfigText c;
+  c.binary = binary;
+  return parse_config(c.text()).binary;
+}
+
+std::string complaint_of(const std::string& binary) {
+  try {
+    rules_of(binary);
+  } catch (const ConfigError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(BinaryConfig, WithoutItNothingBinaryIsSpoken) {
+  BinaryRules rules = rules_of("");
+  EXPECT_FALSE(rules.clients);
+  EXPECT_FALSE(rules.any());
+}
+
+TEST(BinaryConfig, DefaultsAreSafe) {
+  BinaryRules rules = rules_of("{}");
+  EXPECT_TRUE(rules.clients);
+  EXPECT_EQ(rules.read_type, "read");
+  EXPECT_EQ(rules.write_type, "put");  // by key; without one it is treated as once
+  EXPECT_EQ(rules.read_patience, 20 * kSecond);
+  EXPECT_EQ(rules.tenant_of("anything"), "acme");
+  EXPECT_FALSE(rules.cas_is_idempotency_key);
+  EXPECT_FALSE(rules.cas_is_server_key);
+  EXPECT_TRUE(rules.servers.empty());
+}
+
+TEST(BinaryConfig, AllOfItIsTakenOver) {
+  BinaryRules rules = rules_of(R"({"read_class":"read","write_class":"pay","read_deadline_ms":250,
+    "write_deadline_ms":1500.5,"idempotency":"cas","server_idempotency":"cas",
+    "tenants":[{"prefix":"z:","tenant":"zeta"},{"prefix":"z:a:","tenant":"acme"}],
+    "servers":[{"kind":"bin"},{"kind":"std","id":"b-*"}]})");
+  EXPECT_EQ(rules.write_type, "pay");
+  EXPECT_EQ(rules.read_patience, 250 * kMillisecond);
+  EXPECT_EQ(rules.write_patience, 1'500'500);
+  EXPECT_TRUE(rules.cas_is_idempotency_key && rules.cas_is_server_key);
+  EXPECT_EQ(rules.tenant_of("z:1"), "zeta");
+  EXPECT_EQ(rules.tenant_of("z:a:1"), "acme");
+  EXPECT_EQ(rules.tenant_of("y"), "acme");
+  auto is_binary = [&](const char* id, const char* kind) {
+    robinseam::Server s;
+    s.id = id;
+    s.kind = kind;
+    return rules.server_is_binary(s);
+  };
+  EXPECT_TRUE(is_binary("x", "bin"));
+  EXPECT_TRUE(is_binary("b-1", "std"));
+  EXPECT_FALSE(is_binary("b-1", "big"));
+  EXPECT_FALSE(is_binary("x", "std"));
+}
+
+TEST(BinaryConfig, WhatCantBeUsedIsNamed) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"5", "binary: no object"},
+      {R"({"reads":"read"})", "binary.reads: no such setting"},
+      {R"({"clients":1})", "binary.clients: "},
+      {R"({"read_class":7})", "binary.read_class: "},
+      {R"({"read_class":"put"})", "binary.read_class: 'put' is no class that is repeatable"},
+      {R"({"write_class":"read"})",
+       "binary.write_class: 'read' is no class that is by_key or once"},
+      {R"({"write_class":"none"})", "binary.write_class: 'none' is no class"},
+      {R"({"read_deadline_ms":20001})", "binary.read_deadline_ms: "},
+      {R"({"read_deadline_ms":0})", "binary.read_deadline_ms: "},
+      {R"({"write_deadline_ms":"5"})", "binary.write_deadline_ms: "},
+      {R"({"idempotency":"opaque"})", "binary.idempotency: 'opaque' is neither none nor cas"},
+      {R"({"server_idempotency":"key"})", "binary.server_idempotency: "},
+      {R"({"tenants":{}})", "binary.tenants: "},
+      {R"({"tenants":[{"tenant":"acme"}]})", "binary.tenants.prefix: missing"},
+      {R"({"tenants":[{"prefix":"a","tenant":"b"}]})", "binary.tenants.tenant: 'b'"},
+      {R"({"servers":["b-*"]})", "binary.servers: an entry is no object"},
+      {R"({"servers":[{}]})", "binary.servers: an entry with neither kind nor id"},
+      {R"({"servers":[{"ids":"b"}]})", "binary.servers.ids: no such setting"},
+  };
+  for (const auto& [text, due] : cases)
+    EXPECT_EQ(complaint_of(text).substr(0, std::string(due).size()), due) << text;
+}
+
+TEST(Patterns, StarsStandForAnyBytes) {
+  for (auto [pattern, text, fits] : {std::tuple{"a", "a", true},
+                                     {"a", "b", false},
+                                     {"*", "", true},
+                                     {"a*", "abc", true},
+                                     {"a*c", "abc", true},
+                                     {"a*c", "abcd", false},
+                                     {"*b*", "abc", true},
+                                     {"", "", true},
+                                     {"", "a", false},
+                                     {"a*b*c", "aXbbYc", true},
+                                     {"**", "x", true},
+                                     {"a*ab", "aab", true},
+                                     {"a*ab", "aabab", true},
+                                     {"*a", "b", false}})
+    EXPECT_EQ(matches(pattern, text), fits) << pattern << ' ' << text;
+  std::string many(250, 'a');
+  EXPECT_FALSE(matches("*a*a*a*a*a*a*a*a*a*b", many));  // and in no long time
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- a/tests/binary/talk.hpp
+++ b/tests/binary/talk.hpp
@@ -104,8 +104,9 @@
     if (speaks_ == Speaks::Binary)
       link.write(served(a.packet, value, flags));
     else
-      link.write(value_answer(a.id, value).insert(3 + std::to_string(value.size()).size(),
-                                                  " f" + std::to_string(flags)));
+      link.write(
+          value_answer(a.id, value)
+              .insert(3 + std::to_string(value.size()).size(), " f" + std::to_string(flags)));
   }
   void store(Link& link, const Asked& a, const std::string& receipt) const {
     if (speaks_ == Speaks::Binary)
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -296,6 +296,7 @@
     thread_.join();
   }
   Link client() const { return Link::to(port_); }
+  std::uint16_t port() const { return port_; }
   /// As SIGHUP with `text` in the file; comes back when it has been dealt with.
   void reload(const std::string& text) {
     reload_text_ = text;
--- /dev/null
+++ b/tests/rig/rig_test.cpp
@@ -0,0 +1,158 @@
+// The stand-ins themselves: each fault does what it says, and the checks see what they are for.
+#include "rig/cache_server.hpp"
+
+#include <functional>
+
+#include "../loopback.hpp"
+#include "protocol/binary.hpp"
+#include "rig/discovery_server.hpp"
+#include "rig/till.hpp"
+
+namespace arrowfork::rig {
+namespace {
+
+using test::Link;
+
+TEST(RigOrigin, SeesWritesThatRunTwiceAndDropsRepeatsByTheirKey) {
+  Origin origin;
+  std::string first = origin.write("k", {"v", 1}, "id");
+  EXPECT_EQ(origin.write("k", {"v", 1}, "id"), first);
+  EXPECT_EQ(origin.ran_twice(), 0u);
+  EXPECT_EQ(origin.read("k").value, "v");
+  EXPECT_EQ(origin.read("other").value, "price of other");
+  origin.write("k", {"w", 1}, "");
+  EXPECT_EQ(origin.ran_twice(), 0u);
+  origin.write("k", {"w", 1}, "");
+  EXPECT_EQ(origin.ran_twice(), 1u);
+}
+
+class RigCache : public testing::Test {
+ protected:
+  RigCache() : base_(event_base_new()) {
+    CacheServer::Options options;
+    options.service = 0;
+    server_ = std::make_unique<CacheServer>(base_.get(), clock_, origin_, options);
+  }
+  /// What comes for `bytes` until the server has nothing more to say.
+  std::string ask(const std::string& bytes, bool* ended = nullptr) {
+    Link link = Link::to(server_->port());
+    link.write(bytes);
+    std::string all;
+    bool end = false;
+    for (int k = 0; k < 200 && !end; ++k) {
+      event_base_loop(base_.get(), EVLOOP_NONBLOCK);
+      char data[4096];
+      ssize_t got = ::recv(link.fd(), data, sizeof data, MSG_DONTWAIT);
+      if (got > 0) all.append(data, static_cast<std::size_t>(got));
+      end = got == 0 || (got < 0 && errno != EAGAIN);
+      if (got < 0) ::usleep(100);
+    }
+    if (ended) *ended = end;
+    return all;
+  }
+  std::string get(bool binary) {
+    if (!binary) return "mg k v O1 Pc=read,d=100\r\n";
+    return binary::request({binary::Opcode::GetK, 5, 0, 0, 0, "k", ""});
+  }
+
+  EventBasePtr base_;
+  Clock clock_;
+  Origin origin_;
+  std::unique_ptr<CacheServer> server_;
+};
+
+TEST_F(RigCache, EachFaultDoesWhatItSaysInBothProtocols) {
+  for (bool binary : {false, true}) {
+    SCOPED_TRACE(binary ? "binary" : "meta");
+    bool ended = false;
+    server_->set_fault(Fault::None);
+    std::string good = ask(get(binary), &ended);
+    EXPECT_NE(good.find("price of k"), good.npos);
+    EXPECT_FALSE(ended);
+    server_->set_fault(Fault::Silent);
+    EXPECT_EQ(ask(get(binary), &ended), "");
+    EXPECT_FALSE(ended);
+    server_->set_fault(Fault::Full);
+    EXPECT_NE(ask(get(binary)).find("busy"), good.npos);
+    server_->set_fault(Fault::Failing);
+    EXPECT_NE(ask(get(binary)).find("failed"), good.npos);
+    server_->set_fault(Fault::Spoilt);
+    std::string noise = ask(get(binary));
+    EXPECT_EQ(noise.size(), good.size() + 2);
+    EXPECT_EQ(noise.find("price of k"), good.npos);
+    server_->set_fault(Fault::Half);
+    EXPECT_EQ(ask(get(binary), &ended), good.substr(0, good.size() / 2));
+    EXPECT_TRUE(ended);
+    server_->set_fault(Fault::Reset);
+    EXPECT_EQ(ask(get(binary), &ended), "");
+    EXPECT_TRUE(ended);
+    server_->set_fault(Fault::OtherKey);
+    EXPECT_NE(ask(get(binary)), good);
+    server_->set_fault(Fault::WrongProtocol);
+    std::string other = ask(get(binary), &ended);
+    EXPECT_EQ(static_cast<unsigned char>(other[0]) == binary::kResponseMagic, !binary);
+    EXPECT_TRUE(ended);
+    server_->set_fault(Fault::Refusing);
+    EXPECT_EQ(ask(get(binary), &ended), "");
+    EXPECT_TRUE(ended);
+  }
+}
+
+TEST(RigFaults, NamesAreKnown) {
+  EXPECT_EQ(fault_of("half"), Fault::Half);
+  EXPECT_STREQ(name_of(Fault::Half), "half");
+  EXPECT_THROW(fault_of("nothing"), std::invalid_argument);
+}
+
+/// Tills against one stand-in, whatever it does.
+class RigTills : public testing::TestWithParam<bool> {
+ protected:
+  Tills::Counts play(Fault fault) {
+    EventBasePtr base(event_base_new());
+    Clock clock;
+    Origin origin;
+    CacheServer::Options options;
+    options.service = 0;
+    CacheServer server(base.get(), clock, origin, options);
+    server.set_fault(fault);
+    Tills::Options o;
+    o.binary = GetParam();
+    o.routers = {server.port()};
+    o.rate = 400;
+    o.deadline = 100 * kMillisecond;
+    Tills tills(base.get(), clock, o);
+    tills.start();
+    auto turn = [&] {
+      timeval step{0, 10'000};
+      event_base_loopexit(base.get(), &step);
+      event_base_dispatch(base.get());
+    };
+    while (tills.counts().offered < 60) turn();
+    tills.stop();
+    Micros end = clock.now() + 20 * kSecond;
+    while (!tills.idle() && clock.now() < end) turn();
+    return tills.counts();
+  }
+};
+
+TEST_P(RigTills, CountWhatBecameOfEachRequest) {
+  Tills::Counts good = play(Fault::None);
+  EXPECT_EQ(good.in_time + good.late, good.offered);
+  Tills::Counts full = play(Fault::Full);
+  EXPECT_EQ(full.refused, full.offered);
+  Tills::Counts failing = play(Fault::Failing);
+  EXPECT_EQ(failing.failed, failing.offered);
+  Tills::Counts silent = play(Fault::Silent);
+  EXPECT_EQ(silent.lost + silent.not_sent, silent.offered + silent.not_sent);
+  Tills::Counts spoilt = play(Fault::Spoilt);
+  EXPECT_EQ(spoilt.wrong, spoilt.offered);
+  Tills::Counts other = play(Fault::OtherKey);
+  EXPECT_EQ(other.wrong, other.offered);
+  Tills::Counts half = play(Fault::Half);
+  EXPECT_EQ(half.lost, half.offered);
+}
+
+INSTANTIATE_TEST_SUITE_P(Both, RigTills, testing::Bool());
+
+}  // namespace
+}  // namespace arrowfork::rig
