--- a/tests/binary/pairs_test.cpp
+++ b/tests/binary/pairs_test.cpp
@@ -9,6 +9,8 @@
 namespace arrowfork::test {
 namespace {
 
+using namespace std::string_literals;
+
 /// Stands still until the test moves it.
 class TestClock final : public TimeSource {
  public:
@@ -102,7 +104,7 @@
     }
 }
 
-const std::string kValue("a value\r\nEN\r\n\0\x80\x81 with bytes of any kind", 41);
+const std::string kValue = "a value\r\nEN\r\n\0\x80\x81 with bytes of any kind"s;
 const std::string kReceipt = "00f1e2d3c4b5a697", kIdempotency = "5c0f6e1a2b3d4c59";
 
 TEST(Pairs, AReadsValueAndFlagsComeBackIntact) {
