--- a/src/app/wheeldeal.cpp
+++ b/src/app/wheeldeal.cpp
@@ -71,6 +71,9 @@
         }
       });
   rig->add_flag("--no-changes{false}", show.changes, "no server leaves or joins, no reload");
+  rig->add_option("--slack-ms", show.slack_ms,
+                  "what the machine may take on top of each time limit")
+      ->check(CLI::Range(0.0, 60'000.0));
   rig->add_option("--seed", show.seed, "of keys, times and routers");
   rig->callback([&] {
     if (show.binary >= show.caches) throw CLI::ValidationError("--binary", "not under --caches");
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,8 +8,6 @@
 
 // A request that the module has left open this long after its time gets its answer all the same.
 constexpr Micros kLastAnswer = 15 * kMillisecond;
-// Ids kept of one span to tell copies; bounds their memory. Some 300 a second come, at most 1,200.
-constexpr std::size_t kIdsMost = 8192;
 
 Micros longest_of(const std::vector<robinseam::ClassSettings>& classes) {
   Micros longest = 0;
@@ -28,7 +26,7 @@
 }  // namespace
 
 Core::Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
-           Lister& lister, std::size_t max_open)
+           Lister& lister, std::size_t max_open, std::size_t max_ids)
     : clock_(clock),
       lister_(lister),
       classes_(settings.classes),
@@ -36,7 +34,8 @@
       longest_deadline_(longest_of(settings.classes)),
       balancer_(settings, seed, clock.now()),
       id_seed_(mixed(seed)),
-      max_open_(max_open) {}
+      max_open_(max_open),
+      max_ids_(max_ids) {}
 
 void Core::start(std::vector<robinseam::Server> known) {
   Micros now = clock_.now();
@@ -49,11 +48,14 @@
 Core::Taken Core::take(Request&& request, ReplySink& sink, Carrier& carrier, RequestId& id) {
   const robinseam::ClassSettings* type = class_of(request.type);
   if (!type || (type->effect == robinseam::Effect::Keyed && !request.write)) return Taken::BadClass;
-  if (request.id.empty()) request.id = make_id();
-  if (id_taken(request.id)) return Taken::IdInUse;
-  if (open_.size() >= max_open_ || ids_[0].size() >= kIdsMost) return Taken::Busy;
+  bool own_id = request.id.empty();  // never twice the same, so that none need be remembered
+  if (!own_id && id_taken(request.id)) return Taken::IdInUse;
+  if (open_.size() >= max_open_ || (!own_id && ids_[0].size() >= max_ids_)) return Taken::Busy;
   ++counts_.requests;
-  note_id(request.id);
+  if (own_id)
+    request.id = make_id();
+  else
+    note_id(request.id);
   id = next_id_++;
   Open& open = open_[id];
   open.sink = &sink;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -64,9 +64,10 @@
 class Core {
  public:
   /// Throws std::invalid_argument naming the setting that can't be used. `clock` and `lister` must
-  /// outlive the core. At most `max_open` requests are open at once.
+  /// outlive the core. At most `max_open` requests are open at once, and at most `max_ids` with ids
+  /// of their own are taken in a span of the longest deadline.
   Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
-       Lister& lister, std::size_t max_open);
+       Lister& lister, std::size_t max_open, std::size_t max_ids);
 
   /// Call once: begins with the list as last held.
   void start(std::vector<robinseam::Server> known);
@@ -186,7 +187,7 @@
   // them.
   std::array<std::unordered_set<std::string>, 2> ids_;
   Micros ids_since_ = 0;
-  std::size_t max_open_;
+  std::size_t max_open_, max_ids_;
   std::deque<Event> events_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
   std::uint64_t timer_order_ = 0;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kSpareClients = 50;
 // Memory that an open request may come to: its line three times over and what the module keeps.
 constexpr std::size_t kOpenBytes = 16u << 10;
+// One id a span for so much memory: two spans of them, some 100 bytes each, come to a fifth of it.
+constexpr std::size_t kIdBytes = 1024;
 // After SIGTERM the front still sends new connections for up to 0.4 s, and what comes later than
 // 0.7 s is ours to lose no more: in between the router stops listening.
 constexpr Micros kStopListening = kSecond / 2;
@@ -52,7 +54,7 @@
 
 /// The module checks the settings when it is made.
 Core make_core(const Config& c, const TimeSource& clock, Lister& lister) try {
-  return Core(c.settings, c.seed, clock, lister, max_open(c));
+  return Core(c.settings, c.seed, clock, lister, max_open(c), c.memory_bytes / kIdBytes);
 } catch (const std::invalid_argument& e) {
   throw ConfigError(std::string("settings: ") + e.what());
 }
--- a/src/protocol/binary.cpp
+++ b/src/protocol/binary.cpp
@@ -200,7 +200,8 @@
     store(text, c.flags);
     store(text, c.expiry);
   }
-  return text.append(c.key).append(c.value);
+  text.append(c.key).append(c.value);
+  return text;
 }
 
 std::string response(Opcode opcode, std::uint16_t status, std::uint32_t opaque,
@@ -212,14 +213,16 @@
   store_header(text, kResponseMagic, static_cast<std::uint8_t>(opcode), key.size(),
                read ? kGetExtras : 0, status, value.size(), opaque, cas);
   if (read) store(text, flags);
-  return text.append(key).append(value);
+  text.append(key).append(value);
+  return text;
 }
 
 std::string stat(std::uint32_t opaque, std::string_view name, std::string_view value) {
   std::string text;
   store_header(text, kResponseMagic, static_cast<std::uint8_t>(Opcode::Stat), name.size(), 0, 0,
                value.size(), opaque, 0);
-  return text.append(name).append(value);
+  text.append(name).append(value);
+  return text;
 }
 
 }  // namespace arrowfork::binary
--- a/src/rig/show.cpp
+++ b/src/rig/show.cpp
@@ -33,7 +33,7 @@
 // Requests a second that a warm cache server of the rig stands for; tells a cold one that is
 // pushed over.
 constexpr double kCapacity = 200;
-constexpr Micros kDrainGrace = 550 * kMillisecond;  // the rule's 500 ms and the sockets' 50
+constexpr Micros kDrainGrace = 500 * kMillisecond;
 
 /// A router process; ends with its owner, or with this process.
 class RouterProcess {
@@ -297,6 +297,7 @@
     t.binary = binary;
     t.routers = ports_;
     t.rate = o_.rate;
+    t.slack = slack();
     t.seed = o_.seed + (binary ? 2 : 3);
     t.name = binary ? "b" : "m";
     return t;
@@ -330,12 +331,14 @@
     std::printf("%s\n", line.c_str());
   }
 
+  Micros slack() const { return static_cast<Micros>(o_.slack_ms * kMillisecond); }
+
   void changes() {
     Cache& leaver = caches_.front();
     leaver.leaving = true;
     list(leaver, "leaving");
     say(leaver.id + " leaves");
-    spin(kDrainGrace);
+    spin(kDrainGrace + slack());
     leaver.begun_after = leaver.server->counts().begun;
     add_cache(false, clock_.now());
     say(caches_.back().id + " joins, cold");
--- a/src/rig/till.hpp
+++ b/src/rig/till.hpp
@@ -23,7 +23,7 @@
     std::size_t most_connections = 64;
     Micros aim = 150 * kMillisecond;       ///< an answer within it is in time
     Micros deadline = 600 * kMillisecond;  ///< without one by then the request is lost
-    Micros slack = 60 * kMillisecond;      ///< of the machine, on top of the deadline
+    Micros slack = 50 * kMillisecond;      ///< of the machine, on top of the deadline
     std::string read_class = "read", write_class = "put", tenant = "acme";
     std::uint64_t seed = 1;
     std::string name = "t";  ///< in written values, so that each is told from all others
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -32,7 +32,7 @@
 
   CoreTest() { use(basic_settings()); }
   void use(const robinseam::Settings& settings, std::size_t max_open = 100) {
-    core_ = std::make_unique<Core>(settings, 7, *this, *this, max_open);
+    core_ = std::make_unique<Core>(settings, 7, *this, *this, max_open, 8192);
     core_->start(fleet(4));
     core_->turn();
   }
@@ -225,7 +225,7 @@
   EXPECT_EQ(sink.replies, 1);
   EXPECT_FALSE(sink.last.missed);
   robinseam::Settings aside = robinseam::test::aside_settings();
-  core_ = std::make_unique<Core>(aside, 7, *this, *this, 10);
+  core_ = std::make_unique<Core>(aside, 7, *this, *this, 10, 8192);
   auto servers = fleet(3);
   servers[2].kind = "ledger";
   core_->start(servers);
--- a/tests/memcache_test.cpp
+++ b/tests/memcache_test.cpp
@@ -1,9 +1,10 @@
 // The parsers, whole and split at every byte.
-#include "protocol/meta.hpp"
-
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <random>
+
+#include "protocol/meta.hpp"
 
 namespace arrowfork {
 namespace {
@@ -23,8 +24,8 @@
       switch (got) {
         case CommandReader::Got::Command:
           seen.push_back((c.set ? "ms " : "mg ") + c.key + ' ' + c.id + ' ' + c.type + ' ' +
-                         c.tenant + ' ' + std::to_string(c.wait_ms) + ' ' + c.before_d + '7' + c.after_d +
-                         "\r\n" + (c.value ? *c.value + "\r\n" : ""));
+                         c.tenant + ' ' + std::to_string(c.wait_ms) + ' ' + c.before_d + '7' +
+                         c.after_d + "\r\n" + (c.value ? *c.value + "\r\n" : ""));
           break;
         case CommandReader::Got::Noop:
           seen.push_back("mn");
@@ -188,5 +189,38 @@
   EXPECT_EQ(answers_of(std::string(kMaxLine + 1, 'V'), 3).back(), "broken");
 }
 
+// Nearly good lines with random bytes in them, cut at random points: whatever comes, readers end
+// and make the same of it as uncut.
+TEST(MetaFuzz, BothReadersTakeAnyBytesInAnyParts) {
+  std::mt19937_64 random(20261201);
+  auto below = [&](std::uint64_t n) { return random() % n; };
+  const char* const lines[] = {"mg key v O1 Pc=read,d=5\r\n",
+                               "ms key 3 O2 Pc=put,d=5,k=7\r\nabc\r\n",
+                               "mn\r\n",
+                               "VA 3 O1 h1 Lload_share=0.5\r\nabc\r\n",
+                               "HD O1 cab\r\n",
+                               "EN\r\n",
+                               "SERVER_ERROR busy 5\r\n"};
+  int broken = 0, whole = 0;
+  for (int round = 0; round < 50'000; ++round) {
+    std::string text;
+    for (std::uint64_t count = 1 + below(4); count > 0; --count) {
+      std::string line = lines[below(std::size(lines))];
+      for (std::uint64_t spoilt = below(3); spoilt > 0; --spoilt)
+        line[below(line.size())] = static_cast<char>(random());
+      if (below(9) == 0) line.resize(below(line.size() + 1));
+      text += line;
+    }
+    std::size_t cut = below(text.size() + 1);
+    auto commands = commands_of(text, 0), answers = answers_of(text, 0);
+    ASSERT_EQ(commands_of(text, cut), commands) << text;
+    ASSERT_EQ(answers_of(text, cut), answers) << text;
+    for (const auto& one : commands) ++(one == "broken" || one == "bad" ? broken : whole);
+    for (const auto& one : answers) ++(one == "broken" ? broken : whole);
+  }
+  EXPECT_GT(broken, 5'000);
+  EXPECT_GT(whole, 5'000);
+}
+
 }  // namespace
 }  // namespace arrowfork
