--- a/src/rig/discovery_server.cpp
+++ b/src/rig/discovery_server.cpp
@@ -14,6 +14,9 @@
 using Json = nlohmann::json;
 
 constexpr long kLongestWaitMs = 60'000;
+constexpr Micros kSlowTime = kSecond;
+// Longer than any caller waits: it is forgotten when the caller goes.
+constexpr Micros kSilentTime = 3600 * kSecond;
 
 Json json_of(const std::string& id, const DiscoveryServer::Entry& e) {
   return {{"host", id}, {"dial", e.dial},     {"site", e.site}, {"class", e.kind},
@@ -41,9 +44,9 @@
   end_watches();
 }
 
-void DiscoveryServer::set_down(bool down) {
-  down_ = down;
-  end_watches();
+void DiscoveryServer::set_fault(DiscoveryFault fault) {
+  fault_ = fault;
+  if (fault == DiscoveryFault::Down) end_watches();
 }
 
 std::string DiscoveryServer::whole() const {
@@ -60,25 +63,32 @@
   return Json{{"seq", version_}, {"whole", false}, {"hosts", std::move(hosts)}}.dump();
 }
 
-void DiscoveryServer::answer(evhttp_request* request, const std::string& json) {
-  if (down_) {
+void DiscoveryServer::answer(evhttp_request* request, std::string json) {
+  if (fault_ == DiscoveryFault::Down) {
     evhttp_send_error(request, HTTP_SERVUNAVAIL, nullptr);
     return;
   }
+  if (fault_ == DiscoveryFault::Spoilt) json = "[\"" + std::string(json.rbegin(), json.rend());
+  if (fault_ == DiscoveryFault::Half) json.resize(json.size() / 2);
   evbuffer_add(evhttp_request_get_output_buffer(request), json.data(), json.size());
   evhttp_send_reply(request, HTTP_OK, "OK", nullptr);
 }
 
 void DiscoveryServer::end_watches() {
-  while (!watches_.empty()) {
-    Watch w = std::move(watches_.front());
-    watches_.pop_front();
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    if (!at->watch) {
+      ++at;
+      continue;
+    }
+    Waiting w = std::move(*at);
+    at = waiting_.erase(at);
     answer(w.request, changes(w.index));
   }
 }
 
 void DiscoveryServer::on_call(evhttp_request* request, void* self) {
   auto* d = static_cast<DiscoveryServer*>(self);
+  ++d->calls_;
   evkeyvalq query{};
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   const char* text = uri ? evhttp_uri_get_query(uri) : nullptr;
@@ -88,35 +98,45 @@
   std::uint64_t since = index ? std::strtoull(index, nullptr, 10) : 0;
   long ms = std::clamp(wait ? std::strtol(wait, nullptr, 10) : 0L, 0L, kLongestWaitMs);
   evhttp_clear_headers(&query);
-  if (since == 0 || since > d->version_) {
+  if (since > d->version_) since = 0;
+  if (d->fault_ == DiscoveryFault::Reset)
+    evhttp_connection_free(evhttp_request_get_connection(request));
+  else if (d->fault_ == DiscoveryFault::Silent)
+    d->wait(request, since, false, kSilentTime);
+  else if (d->fault_ == DiscoveryFault::Slow)
+    d->wait(request, since, false, kSlowTime);
+  else if (since == 0)
     d->answer(request, d->whole());
-  } else if (since < d->version_ || ms == 0 || d->down_) {
+  else if (since < d->version_ || ms == 0 || d->fault_ != DiscoveryFault::None)
     d->answer(request, d->changes(since));
-  } else {
-    d->watches_.push_back({d, request, since, nullptr});
-    Watch& w = d->watches_.back();
-    w.timer.reset(event_new(d->base_, -1, 0, on_wait_over, &w));
-    timeval limit = timeval_of(ms * kMillisecond);
-    event_add(w.timer.get(), &limit);
-    // A caller that goes away takes its request along.
-    evhttp_connection_set_closecb(
-        evhttp_request_get_connection(request),
-        [](evhttp_connection* connection, void* server) {
-          static_cast<DiscoveryServer*>(server)->watches_.remove_if([&](const Watch& one) {
-            return evhttp_request_get_connection(one.request) == connection;
-          });
-        },
-        d);
-  }
+  else
+    d->wait(request, since, true, ms * kMillisecond);
+}
+
+void DiscoveryServer::wait(evhttp_request* request, std::uint64_t index, bool watch, Micros span) {
+  waiting_.push_back({this, request, index, watch, nullptr});
+  Waiting& w = waiting_.back();
+  w.timer.reset(event_new(base_, -1, 0, on_wait_over, &w));
+  timeval limit = timeval_of(span);
+  event_add(w.timer.get(), &limit);
+  // A caller that goes away takes its request along.
+  evhttp_connection_set_closecb(
+      evhttp_request_get_connection(request),
+      [](evhttp_connection* connection, void* server) {
+        static_cast<DiscoveryServer*>(server)->waiting_.remove_if([&](const Waiting& one) {
+          return evhttp_request_get_connection(one.request) == connection;
+        });
+      },
+      this);
 }
 
-void DiscoveryServer::on_wait_over(evutil_socket_t, short, void* watch) {
-  auto* w = static_cast<Watch*>(watch);
+void DiscoveryServer::on_wait_over(evutil_socket_t, short, void* waiting) {
+  auto* w = static_cast<Waiting*>(waiting);
   DiscoveryServer* d = w->server;
   evhttp_request* request = w->request;
   std::uint64_t index = w->index;
-  d->watches_.remove_if([&](const Watch& one) { return &one == w; });
-  d->answer(request, d->changes(index));
+  d->waiting_.remove_if([&](const Waiting& one) { return &one == w; });
+  d->answer(request, index ? d->changes(index) : d->whole());
 }
 
 }  // namespace arrowfork::rig
--- a/src/rig/discovery_server.hpp
+++ b/src/rig/discovery_server.hpp
@@ -14,6 +14,17 @@
 
 namespace arrowfork::rig {
 
+/// What it does instead of answering a call well. Watches that are out are left to their time.
+enum class DiscoveryFault {
+  None,
+  Slow,    ///< answers a second late
+  Silent,  ///< takes calls and answers none
+  Down,    ///< answers 503, and ends the watches that are out so
+  Spoilt,  ///< answers what is no list
+  Half,    ///< answers half of the list
+  Reset,   ///< ends the connection without an answer
+};
+
 class DiscoveryServer {
  public:
   struct Entry {
@@ -28,8 +39,8 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   /// Adds a cache server or changes it; watches are told at once.
   void put(const std::string& id, const Entry& entry);
-  /// Down: watches end, calls get 503.
-  void set_down(bool down);
+  void set_fault(DiscoveryFault fault);
+  std::uint64_t calls() const { return calls_; }
   /// The whole list in discovery's JSON.
   std::string whole() const;
 
@@ -38,16 +49,19 @@
     Entry entry;
     std::uint64_t changed = 0;  // the version that brought it
   };
-  struct Watch {
+  /// A call that is answered later: at a change, or when its time is over.
+  struct Waiting {
     DiscoveryServer* server;
     evhttp_request* request;
     std::uint64_t index;
+    bool watch;  // a change ends it
     EventPtr timer;
   };
   static void on_call(evhttp_request* request, void* self);
-  static void on_wait_over(evutil_socket_t, short, void* watch);
-  void answer(evhttp_request* request, const std::string& json);
+  static void on_wait_over(evutil_socket_t, short, void* waiting);
+  void answer(evhttp_request* request, std::string json);
   std::string changes(std::uint64_t since) const;
+  void wait(evhttp_request* request, std::uint64_t index, bool watch, Micros span);
   void end_watches();
 
   struct HttpFree {
@@ -57,9 +71,10 @@
   std::unique_ptr<evhttp, HttpFree> http_;
   std::uint16_t port_ = 0;
   std::uint64_t version_ = 1;
-  bool down_ = false;
+  DiscoveryFault fault_ = DiscoveryFault::None;
+  std::uint64_t calls_ = 0;
   std::map<std::string, Listed> hosts_;
-  std::list<Watch> watches_;
+  std::list<Waiting> waiting_;
 };
 
 }  // namespace arrowfork::rig
--- a/src/rig/show.cpp
+++ b/src/rig/show.cpp
@@ -16,6 +16,7 @@
 
 #include "cache_server.hpp"
 #include "discovery_server.hpp"
+#include "rude_tills.hpp"
 #include "till.hpp"
 
 namespace arrowfork::rig {
@@ -26,6 +27,8 @@
 constexpr Micros kStep = 10 * kMillisecond;
 constexpr Micros kStartLimit = 20 * kSecond;
 constexpr Micros kDirectTime = 2 * kSecond;
+// A router asks discovery again within seconds of a failure.
+constexpr Micros kRejoinLimit = 15 * kSecond;
 // After SIGTERM a router ends within the longest deadline and 0.7 s.
 constexpr Micros kEndLimit = 5 * kSecond;
 constexpr double kColdShare = 0.3, kOverloadFactor = 4;
@@ -169,11 +172,19 @@
     say("tills of both protocols ask the routers, " +
         std::to_string(static_cast<int>(2 * o_.rate)) + " requests a second");
     meta.start(), binary.start();
+    RudeTills rude_meta(base_.get(), clock_, rude(false)),
+        rude_binary(base_.get(), clock_, rude(true));
+    rude_meta.start(), rude_binary.start();
     spin(kSecond);
     if (o_.changes) changes();
     for (const std::string& name : faults()) trouble(fault_of(name));
-    if (o_.changes) reload();
+    if (o_.changes) {
+      discovery_faults();
+      reload();
+    }
     spin(kSecond);
+    rude_meta.stop(), rude_binary.stop();
+    spin_until([&] { return rude_meta.idle() && rude_binary.idle(); }, rude(false).owed_within * 2);
     for (Tills* t : tills_) t->stop();
     spin_until([&] { return meta.idle() && binary.idle(); }, 2 * kSecond);
     end_routers();
@@ -182,7 +193,7 @@
                 "direct p50", "added p50");
     row("meta", meta, direct_meta);
     row("binary", binary, direct_binary);
-    return verdict(meta, binary);
+    return verdict(meta, binary, rude_meta.counts(), rude_binary.counts());
   }
 
  private:
@@ -303,6 +314,15 @@
     return t;
   }
 
+  RudeTills::Options rude(bool binary) const {
+    RudeTills::Options r;
+    r.binary = binary;
+    r.routers = ports_;
+    r.seed = o_.seed + (binary ? 4 : 5);
+    r.owed_within += slack();
+    return r;
+  }
+
   /// The last of each protocol gets it.
   void trouble(Fault fault) {
     spin(static_cast<Micros>(o_.fault_s * kSecond / 2));
@@ -345,6 +365,24 @@
     spin(kSecond);
   }
 
+  void discovery_faults() {
+    const std::pair<const char*, DiscoveryFault> all[] = {
+        {"slow", DiscoveryFault::Slow}, {"silent", DiscoveryFault::Silent},
+        {"down", DiscoveryFault::Down}, {"spoilt", DiscoveryFault::Spoilt},
+        {"half", DiscoveryFault::Half}, {"reset", DiscoveryFault::Reset}};
+    for (const auto& [name, fault] : all) {
+      discovery_.set_fault(fault);
+      add_cache(true, clock_.now());  // a change, so that it has something to tell
+      say(std::string("discovery: ") + name);
+      spin(static_cast<Micros>(o_.fault_s * kSecond / 2));
+    }
+    discovery_.set_fault(DiscoveryFault::None);
+    std::string last = caches_.back().id;
+    rejoined_ = spin_until([&] { return caches_.back().server->counts().begun > 0; },
+                           kRejoinLimit + slack());
+    say(rejoined_ ? last + " has joined" : last + " never got a request");
+  }
+
   void reload() {
     for (auto& r : routers_) r->signal(SIGHUP);
     say("routers reload");
@@ -398,7 +436,8 @@
                 ms(t.quantile(0.5) - direct.quantile(0.5)));
   }
 
-  int verdict(const Tills& meta, const Tills& binary) {
+  int verdict(const Tills& meta, const Tills& binary, const RudeTills::Counts& rude_meta,
+              const RudeTills::Counts& rude_binary) {
     bool held = true;
     auto rule = [&](bool good, const std::string& what) {
       std::printf("%s  %s\n", good ? "held  " : "BROKEN", what.c_str());
@@ -420,6 +459,10 @@
     rule(drained, "3  nothing new to a server 500 ms after it was told to leave");
     rule(pushed_over_.empty(),
          "4  no cold server pushed over" + (pushed_over_.empty() ? "" : ": " + pushed_over_));
+    rule(rude_meta.left_waiting + rude_binary.left_waiting == 0,
+         "   " + std::to_string(rude_meta.came + rude_binary.came) +
+             " rude clients were told or closed in time");
+    if (o_.changes) rule(rejoined_, "   discovery's faults were recovered from");
     bool well = std::all_of(routers_.begin(), routers_.end(),
                             [](const auto& r) { return r->ended_well(); });
     rule(well, "   the routers ended as asked, with status 0");
@@ -438,7 +481,7 @@
   std::vector<std::uint16_t> ports_;
   std::vector<Tills*> tills_;
   std::string pushed_over_;
-  bool ending_ = false;
+  bool ending_ = false, rejoined_ = false;
 };
 
 }  // namespace
--- a/src/rig/show.hpp
+++ b/src/rig/show.hpp
@@ -16,7 +16,7 @@
   double fault_s = 2;   ///< how long each fault lasts, and half as long the calm before it
   std::vector<std::string> faults;  ///< names as fault_of() knows them; empty: all of them
   bool changes = true;              ///< a cache server leaves, one joins, routers reload
-  double slack_ms = 50;  ///< what the machine may take on top of each time limit
+  double slack_ms = 50;             ///< what the machine may take on top of each time limit
   unsigned seed = 1;
 };
 
--- a/tests/rig/rig_test.cpp
+++ b/tests/rig/rig_test.cpp
@@ -1,11 +1,11 @@
 // The stand-ins themselves: each fault does what it says, and the checks see what they are for.
-#include "rig/cache_server.hpp"
-
 #include <functional>
 
 #include "../loopback.hpp"
 #include "protocol/binary.hpp"
+#include "rig/cache_server.hpp"
 #include "rig/discovery_server.hpp"
+#include "rig/rude_tills.hpp"
 #include "rig/till.hpp"
 
 namespace arrowfork::rig {
@@ -152,6 +152,80 @@
   EXPECT_EQ(half.lost, half.offered);
 }
 
+/// Rude tills against a server that answers nothing, and one that closes at once.
+TEST_P(RigTills, RudeOnesSeeWhoLeavesThemWaiting) {
+  for (bool closes : {false, true}) {
+    EventBasePtr base(event_base_new());
+    Clock clock;
+    Origin origin;
+    CacheServer server(base.get(), clock, origin, {});
+    server.set_fault(closes ? Fault::Refusing : Fault::Silent);
+    RudeTills::Options o;
+    o.binary = GetParam();
+    o.routers = {server.port()};
+    o.rate = 200;
+    o.owed_within = 200 * kMillisecond;
+    RudeTills rude(base.get(), clock, o);
+    rude.start();
+    auto turn = [&] {
+      timeval step{0, 10'000};
+      event_base_loopexit(base.get(), &step);
+      event_base_dispatch(base.get());
+    };
+    Micros end = clock.now() + 20 * kSecond;
+    while (rude.counts().came < 35 && clock.now() < end) turn();
+    rude.stop();
+    while (!rude.idle() && clock.now() < end) turn();
+    const RudeTills::Counts& c = rude.counts();
+    EXPECT_EQ(c.came, c.told + c.closed + c.left_waiting + c.served);
+    if (closes)
+      EXPECT_EQ(c.left_waiting, 0u);
+    else
+      EXPECT_GE(c.left_waiting, c.came / 7);  // at least those that say nothing
+  }
+}
+
+TEST(RigDiscovery, EachFaultDoesWhatItSays) {
+  EventBasePtr base(event_base_new());
+  DiscoveryServer discovery(base.get());
+  discovery.put("s-1", {"127.0.0.1:9"});
+  /// What comes for one call within a while.
+  auto call = [&](const std::string& query) {
+    std::string address = discovery.address();
+    Link link =
+        Link::to(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+    link.write("GET /discovery/hosts" + query +
+               " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::string all;
+    for (int k = 0; k < 100; ++k) {
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+      char data[4096];
+      ssize_t got = ::recv(link.fd(), data, sizeof data, MSG_DONTWAIT);
+      if (got == 0 || (got < 0 && errno != EAGAIN)) return all + "<end>";
+      if (got > 0) all.append(data, static_cast<std::size_t>(got));
+      if (got < 0) ::usleep(500);
+    }
+    return all;
+  };
+  auto has = [](const std::string& text, const char* part) { return text.find(part) != text.npos; };
+  std::string whole = call("");
+  EXPECT_TRUE(has(whole, "200 OK") && has(whole, R"("whole":true)") && has(whole, "s-1"));
+  EXPECT_TRUE(has(call("?index=1&wait=10000"), R"("whole":false)"));  // newer than that
+  EXPECT_EQ(call("?index=2&wait=10000"), "");                         // waits
+  discovery.set_fault(DiscoveryFault::Silent);
+  EXPECT_EQ(call(""), "");
+  discovery.set_fault(DiscoveryFault::Slow);
+  EXPECT_EQ(call(""), "");
+  discovery.set_fault(DiscoveryFault::Down);
+  EXPECT_TRUE(has(call(""), " 503 "));
+  discovery.set_fault(DiscoveryFault::Spoilt);
+  EXPECT_TRUE(has(call(""), "eurt:"));
+  discovery.set_fault(DiscoveryFault::Half);
+  EXPECT_TRUE(has(call(""), "200 OK") && !has(call(""), R"("whole":true)"));
+  discovery.set_fault(DiscoveryFault::Reset);
+  EXPECT_EQ(call(""), "<end>");
+}
+
 INSTANTIATE_TEST_SUITE_P(Both, RigTills, testing::Bool());
 
 }  // namespace
