--- a/tests/binary/hard_test.cpp
+++ b/tests/binary/hard_test.cpp
@@ -459,6 +459,31 @@
   EXPECT_GE(meta_served, 20);
 }
 
+TEST(WrongProtocol, BeforeAServerHasSpokenAConnectionCarriesOneAttempt) {
+  Peer server;
+  ConfigText config = binary_config({&server});
+  config.routers = 30;  // two connections a server
+  TestClock clock;      // stands still: nothing is given up meanwhile
+  RunningRouter router(config, &clock);
+  Link client = router.client();
+  for (std::uint32_t k = 0; k < 6; ++k)
+    client.write(packet(Opcode::Get, k, "key" + std::to_string(k)));
+  Link links[2] = {server.accept(), server.accept()};
+  binary::Command first[2] = {command_of(read_packet(links[0])), command_of(read_packet(links[1]))};
+  EXPECT_TRUE(links[0].silent(50));
+  EXPECT_TRUE(links[1].silent(50));
+  links[0].write(good_answer(first[0]));
+  links[1].write(good_answer(first[1]));
+  for (int left = 4; left > 0; --left) {
+    for (int k = 0; k < kPatienceMs && links[0].silent(0) && links[1].silent(1); ++k) {
+    }
+    Link& link = links[links[0].silent(0) ? 1 : 0];
+    link.write(good_answer(command_of(read_packet(link))));
+  }
+  for (std::uint32_t k = 0; k < 6; ++k)
+    EXPECT_EQ(read_answer(client).value, "v:key" + std::to_string(k));
+}
+
 TEST(WrongProtocol, ABinaryServerThatIsTakenForMetaIsToldAsWell) {
   Peer server;
   ConfigText config;
--- a/tests/binary/memcached_client_test.cpp
+++ b/tests/binary/memcached_client_test.cpp
@@ -1,5 +1,5 @@
-// A real binary client that others wrote, libmemcached, reading and writing through the router, with
-// cache servers of both protocols behind it.
+// A real binary client that others wrote, libmemcached, reading and writing through the router,
+// with cache servers of both protocols behind it.
 #include <libmemcached/memcached.h>
 
 #include <atomic>
@@ -27,8 +27,8 @@
         options.binary = k >= meta;
         options.service = 0;
         servers.push_back(std::make_unique<rig::CacheServer>(base.get(), clock, origin, options));
-        hosts.push_back(host_json((k < meta ? "m-" : "b-") + std::to_string(k),
-                                  servers.back()->address()));
+        hosts.push_back(
+            host_json((k < meta ? "m-" : "b-") + std::to_string(k), servers.back()->address()));
       }
       up.set_value();
       while (!end_) {
--- a/tests/binary/pairs_test.cpp
+++ b/tests/binary/pairs_test.cpp
@@ -1,6 +1,5 @@
 // One suite over all four pairs of client and server protocol: the same is seen at both ends, and
 // the module is told and decides the same, to the byte.
-#include <atomic>
 #include <list>
 
 #include "../drill_lines.hpp"
@@ -11,16 +10,6 @@
 
 using namespace std::string_literals;
 
-/// Stands still until the test moves it.
-class TestClock final : public TimeSource {
- public:
-  Micros now() const override { return now_; }
-  void pass(Micros span) { now_ += span; }
-
- private:
-  std::atomic<Micros> now_{1'000'000 * kSecond};
-};
-
 /// Two servers and one client of a pair of protocols, with a router between them.
 class Pair {
  public:
--- a/tests/binary/talk.hpp
+++ b/tests/binary/talk.hpp
@@ -2,7 +2,7 @@
 // written once for both.
 #pragma once
 
-#include <charconv>
+#include <atomic>
 
 #include "../loopback.hpp"
 #include "net/client_codec.hpp"
@@ -13,6 +13,16 @@
 enum class Speaks { Meta, Binary };
 inline const char* name_of(Speaks s) { return s == Speaks::Binary ? "binary" : "meta"; }
 
+/// Stands still until the test moves it.
+class TestClock final : public TimeSource {
+ public:
+  Micros now() const override { return now_; }
+  void pass(Micros span) { now_ += span; }
+
+ private:
+  std::atomic<Micros> now_{1'000'000 * kSecond};
+};
+
 /// The size of the first packet in `text`; 0 where none is whole.
 inline std::size_t whole_packet(std::string_view text) {
   if (text.size() < binary::kHeader) return 0;
