The external processor is served: listener, health, ext_proc in the configuration

Change: src/extproc/server carries bytes between sockets, gRPC sessions and the processor on the router's loop; grpc.health.v1 Check and Watch; fronts take part in the loop and in the planned end through src/net/front.hpp; wheeldeal run serves it where the configuration has ext_proc, arrowfork does not link it. A call ended before its caller half-closed is reset, or its stream would stay: the health test showed that.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,8 +3,6 @@
 #include <csignal>
 #include <cstdio>
 
-#include "../net/router.hpp"
-
 namespace arrowfork {
 namespace {
 
@@ -29,7 +27,7 @@
 
 }  // namespace
 
-int serve(const std::function<Config()>& load) {
+int serve(const std::function<Config()>& load, const Attach& attach) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
@@ -45,6 +43,9 @@
     Router router(base.get(), config, clock);
     std::string error;
     if (!router.listen(error)) return complain("listen " + config.listen + ": " + error);
+    std::unique_ptr<Front> front = attach ? attach(base.get(), clock, router, config) : nullptr;
+    if (front) router.add_front(*front);
+    if (config.ext_proc && !attach) complain("ext_proc: this program does not serve it");
     auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
     EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
--- a/src/app/wheeldeal.cpp
+++ b/src/app/wheeldeal.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "../extproc/server.hpp"
 #include "../rig/cache_server.hpp"
 #include "../rig/show.hpp"
 #include "serve.hpp"
@@ -28,6 +29,18 @@
   }
 }
 
+std::unique_ptr<arrowfork::Front> ext_proc(event_base* base, const arrowfork::TimeSource& clock,
+                                           arrowfork::Router& router,
+                                           const arrowfork::Config& config) {
+  if (!config.ext_proc) return nullptr;
+  auto server = std::make_unique<arrowfork::extproc::Server>(
+      base, clock, router.core(), *config.ext_proc, router.report_fields(),
+      [&router](const std::string& id) { return router.address_of(id); });
+  std::fprintf(stderr, "arrowfork: ext_proc listens on port %u\n",
+               static_cast<unsigned>(server->port()));
+  return server;
+}
+
 std::string own_program() {
   char path[4096];
   ssize_t size = ::readlink("/proc/self/exe", path, sizeof path);
@@ -46,7 +59,8 @@
   run->add_option("file", file, "configuration (JSON); without it, the one NODE_CONFIG names");
   run->callback([&] {
     status = arrowfork::serve(
-        [&] { return file.empty() ? arrowfork::load_config() : arrowfork::load_config(file); });
+        [&] { return file.empty() ? arrowfork::load_config() : arrowfork::load_config(file); },
+        ext_proc);
   });
   CLI::App* checked = app.add_subcommand("check", "say whether a configuration can be used");
   checked->add_option("file", file, "configuration (JSON)")->required();
--- a/src/extproc/processor.hpp
+++ b/src/extproc/processor.hpp
@@ -77,6 +77,7 @@
 
   const Counts& counts() const { return counts_; }
   std::size_t open_streams() const { return streams_.size(); }
+  bool has(StreamId stream) const { return streams_.count(stream) > 0; }
   /// Requests of which anything is kept.
   std::size_t kept() const { return exchanges_.size(); }
 
--- /dev/null
+++ b/src/extproc/server.hpp
@@ -0,0 +1,64 @@
+// The external processor's listener and connections, on the router's loop: bytes between sockets,
+// gRPC sessions and the processor; and gRPC's health service.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "../io/io.hpp"
+#include "../net/config.hpp"
+#include "../net/front.hpp"
+#include "processor.hpp"
+
+namespace arrowfork::extproc {
+
+class Server final : public Front, Processor::Output {
+ public:
+  /// Listens as `settings` say. Throws ConfigError naming the setting that can't be used, also
+  /// where the address is taken. Base, clock, core and fields outlive it.
+  Server(event_base* base, const TimeSource& clock, Core& core, const ExtProcSettings& settings,
+         const std::vector<robinseam::ReportField>& fields,
+         std::function<std::string(const std::string& server)> address_of);
+  ~Server() override;
+
+  void flush() override;
+  void drain() override;
+  bool drained() const override { return draining_ && connections_.empty(); }
+  std::uint16_t port() const { return port_; }
+  const Processor& processor() const { return processor_; }
+  struct Counts {
+    std::uint64_t connections = 0, turned_away = 0, idle = 0;
+  };
+  const Counts& counts() const { return counts_; }
+  const grpc::ServerSession::Counts& session_counts() const { return session_counts_; }
+
+ private:
+  class Connection;
+  static void on_accept(evutil_socket_t, short, void* self);
+  static void on_sweep(evutil_socket_t, short, void* self);
+  void message(StreamId stream, const std::string& bytes) override;
+  void finish(StreamId stream, grpc::Status status, const std::string& text) override;
+  Connection* connection_of(StreamId stream);
+  void touch(Connection& connection);
+  bool serving() const;
+
+  event_base* base_;
+  const TimeSource& clock_;
+  Core& core_;
+  ExtProcSettings settings_;
+  grpc::ServerSession::Limits limits_;
+  grpc::ServerSession::Counts session_counts_;
+  Counts counts_;
+  Processor processor_;
+  Fd listener_;
+  std::uint16_t port_ = 0;
+  EventPtr accept_event_, sweep_event_;
+  bool draining_ = false;
+  std::uint32_t next_ = 1;
+  std::unordered_map<std::uint32_t, std::unique_ptr<Connection>> connections_;
+  std::vector<std::uint32_t> dirty_;
+};
+
+}  // namespace arrowfork::extproc
--- a/src/grpc/server_session.cpp
+++ b/src/grpc/server_session.cpp
@@ -161,6 +161,15 @@
     return 0;
   }
 
+  /// A call that is ended before its caller has half-closed: RFC 9113, 8.1. Without the reset its
+  /// stream would stay until the caller thinks of it.
+  static int on_sent(nghttp2_session* session, const nghttp2_frame* frame, void*) {
+    if (frame->hd.type == NGHTTP2_HEADERS && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) &&
+        nghttp2_session_get_stream_remote_close(session, frame->hd.stream_id) == 0)
+      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_NO_ERROR);
+    return 0;
+  }
+
   static int on_close(nghttp2_session*, std::int32_t id, std::uint32_t, void* self) {
     of(self).end(id);
     return 0;
@@ -219,6 +228,7 @@
   nghttp2_session_callbacks_set_on_header_callback(made, Callbacks::on_header);
   nghttp2_session_callbacks_set_on_frame_recv_callback(made, Callbacks::on_reset_by_peer);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, Callbacks::on_data);
+  nghttp2_session_callbacks_set_on_frame_send_callback(made, Callbacks::on_sent);
   nghttp2_session_callbacks_set_on_stream_close_callback(made, Callbacks::on_close);
   if (nghttp2_session_server_new2(&session_, made, this, option) != 0) throw std::bad_alloc();
   nghttp2_settings_entry settings[] = {
--- a/src/grpc/server_session.hpp
+++ b/src/grpc/server_session.hpp
@@ -24,6 +24,7 @@
   Ok = 0,
   InvalidArgument = 3,
   DeadlineExceeded = 4,
+  NotFound = 5,
   ResourceExhausted = 8,
   Unimplemented = 12,
   Internal = 13,
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,6 +1,7 @@
 #include "config.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <cmath>
 #include <cstdlib>
@@ -220,6 +221,67 @@
   return rules;
 }
 
+/// The object `ext_proc`; as in `binary`, every name is known.
+ExtProcSettings ext_proc_of(const Json& json, const robinseam::Settings& settings) {
+  auto fail = [](const std::string& name, const std::string& why) {
+    return ConfigError("ext_proc." + name + ": " + why);
+  };
+  if (!json.is_object()) throw ConfigError("ext_proc: no object");
+  ExtProcSettings s;
+  std::map<std::string, std::string*> texts = {{"listen", &s.listen},
+                                               {"key_header", &s.key_header},
+                                               {"class_header", &s.class_header},
+                                               {"tenant_header", &s.tenant_header},
+                                               {"deadline_header", &s.deadline_header},
+                                               {"id_header", &s.id_header},
+                                               {"idempotency_header", &s.idempotency_header},
+                                               {"read_class", &s.read_type},
+                                               {"write_class", &s.write_type}};
+  std::size_t idle_s = 300;
+  std::map<std::string, std::size_t*> figures = {
+      {"connections", &s.connections},
+      {"streams", &s.streams},
+      {"streams_per_connection", &s.streams_per_connection},
+      {"header_bytes", &s.header_bytes},
+      {"resets_per_s", &s.resets_per_s},
+      {"idle_s", &idle_s}};
+  for (const auto& [name, value] : json.items()) {
+    if (auto text = texts.find(name); text != texts.end()) {
+      if (!value.is_string() || value.get_ref<const std::string&>().empty() ||
+          value.get_ref<const std::string&>().size() > kMaxName)
+        throw fail(name, "no text of 1 to 250 bytes");
+      *text->second = value.get<std::string>();
+    } else if (auto figure = figures.find(name); figure != figures.end()) {
+      if (!value.is_number_unsigned() || value.get<std::uint64_t>() < 1 ||
+          value.get<std::uint64_t>() > 1'000'000)
+        throw fail(name, "no whole number from 1 to 1000000");
+      *figure->second = value.get<std::size_t>();
+    } else {
+      throw fail(name, "no such setting");
+    }
+  }
+  s.idle = static_cast<robinseam::Micros>(idle_s) * 1'000'000;
+  if (s.listen.empty()) throw fail("listen", "missing");
+  // Names of headers come in lower case over HTTP/2.
+  for (const auto& [name, text] : texts)
+    if (name.ends_with("_header"))
+      for (char& c : *text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  using robinseam::Effect;
+  auto type = [&](const char* name, std::string& wanted, bool repeatable) {
+    for (const auto& c : settings.classes) {
+      bool fits = (c.effect == Effect::Repeatable) == repeatable;
+      if (wanted.empty() && fits) wanted = c.name;
+      if (c.name == wanted && !fits) break;
+      if (c.name == wanted) return;
+    }
+    throw fail(name, wanted.empty() ? "no class fits" : "'" + wanted + "' is no class that fits");
+  };
+  type("read_class", s.read_type, true);
+  type("write_class", s.write_type, false);
+  if (!settings.tenants.empty()) s.first_tenant = settings.tenants.front().name;
+  return s;
+}
+
 Config config_of(const Json& json) {
   if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file holds no JSON object");
   Config c;
@@ -263,6 +325,11 @@
   }
   if (auto binary = json.find("binary"); binary != json.end() && !binary->is_null())
     c.binary = binary_of(*binary, c.settings);
+  if (auto ext = json.find("ext_proc"); ext != json.end() && !ext->is_null()) {
+    c.ext_proc = ext_proc_of(*ext, c.settings);
+    if (c.ext_proc->connections + 64 > c.sockets)
+      throw ConfigError("ext_proc.connections: limits.sockets leaves no room for them");
+  }
   return c;
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -1,6 +1,7 @@
 // What the router is told at its start: environment and configuration file.
 #pragma once
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -30,6 +31,22 @@
 /// Reads discovery's JSON. Throws ConfigError on anything that is not a list.
 HostList parse_host_list(const std::string& json);
 
+/// The object `ext_proc`: an external processor for other proxies (wheeldeal alone). Header names
+/// that are empty are the usual ones.
+struct ExtProcSettings {
+  std::string listen;  ///< address
+  std::string key_header, class_header, tenant_header, deadline_header, id_header,
+      idempotency_header;
+  std::string read_type, write_type, first_tenant;
+  std::size_t connections = 64;  ///< beyond, new ones are closed
+  std::size_t streams = 10'000;  ///< calls open at once, over all connections
+  std::size_t streams_per_connection = 1'000;
+  std::size_t header_bytes = 16u << 10;  ///< of one call
+  std::size_t resets_per_s = 200;        ///< of calls by one connection, before it is sent away
+  robinseam::Micros idle = 300'000'000;  ///< a connection without a call for this long is let go
+  bool operator==(const ExtProcSettings&) const = default;
+};
+
 struct Config {
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
@@ -39,6 +56,7 @@
   robinseam::Settings settings;
   robinseam::drill::LinkSettings links;
   BinaryRules binary;  ///< of the object `binary`; without it nothing binary is spoken
+  std::optional<ExtProcSettings> ext_proc;
 };
 
 /// Reads the file that NODE_CONFIG names. The other NODE_ variables say what it leaves out: they
--- /dev/null
+++ b/src/net/front.hpp
@@ -0,0 +1,19 @@
+// A further front on the router's loop, beside the memcached listener.
+#pragma once
+
+#include <cstddef>
+
+namespace arrowfork {
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  /// Writes what the core's last turn has left. Called once an iteration of the loop.
+  virtual void flush() = 0;
+  /// Planned end: takes nothing new, finishes what is open.
+  virtual void drain() = 0;
+  /// Nothing is open any more.
+  virtual bool drained() const = 0;
+};
+
+}  // namespace arrowfork
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -30,7 +30,9 @@
 ClientSide::Limits client_limits(const Config& c) {
   ClientSide::Limits l;
   l.spare_connections = std::min(kSpareClients, c.sockets / 16);
-  l.connections = c.sockets - kReservedSockets - server_sockets(c) - l.spare_connections;
+  std::size_t others = kReservedSockets + server_sockets(c) + l.spare_connections;
+  if (c.ext_proc) others += c.ext_proc->connections + 1;
+  l.connections = c.sockets > others ? c.sockets - others : 1;
   l.held_bytes = c.memory_bytes / 4;
   return l;
 }
@@ -104,6 +106,7 @@
       // Requests go on before answers go back: they have the longer way.
       servers_.flush();
       clients_.flush();
+      for (Front* front : fronts_) front->flush();
     } while (core_.pending() || servers_.dirty() || clients_.dirty());
     arm();
     event_base_loop(base_, EVLOOP_ONCE);
@@ -120,8 +123,9 @@
       throw ConfigError(std::string("binary.") + what + "_class: '" + type +
                         "' is no class of the settings in force");
   if (next.settings != config_.settings || next.links != config_.links ||
-      next.listen != config_.listen)
-    std::fprintf(stderr, "arrowfork: reload: settings and listen are taken at the next start\n");
+      next.listen != config_.listen || next.ext_proc != config_.ext_proc)
+    std::fprintf(stderr,
+                 "arrowfork: reload: settings, listen and ext_proc are taken at the next start\n");
   config_.sockets = next.sockets;
   config_.memory_bytes = next.memory_bytes;
   clients_.set_limits(client_limits(config_));
@@ -146,8 +150,13 @@
 void Router::on_stop_step(evutil_socket_t, short, void* self) {
   auto* r = static_cast<Router*>(self);
   r->clients_.drain();
+  bool drained = true;
+  for (Front* front : r->fronts_) {
+    front->drain();
+    drained &= front->drained();
+  }
   Micros waited = r->clock_.now() - r->stopping_since_;
-  if ((r->core_.open_requests() == 0 && r->clients_.connections() == 0) ||
+  if ((r->core_.open_requests() == 0 && r->clients_.connections() == 0 && drained) ||
       waited > r->core_.longest_deadline() + kStopSlack) {
     r->done_ = true;
     return;
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -10,6 +10,7 @@
 #include "client_side.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
+#include "front.hpp"
 #include "server_side.hpp"
 
 namespace arrowfork {
@@ -32,6 +33,13 @@
   void quit() { done_ = true; }
   std::uint16_t port() const { return clients_.port(); }
   Core& core() { return core_; }
+  /// A further front, which takes part in the loop and in the planned end from here on. It must
+  /// outlive run().
+  void add_front(Front& front) { fronts_.push_back(&front); }
+  std::string address_of(const std::string& server) const { return servers_.address_of(server); }
+  const std::vector<robinseam::ReportField>& report_fields() const {
+    return config_.settings.report_fields;
+  }
 
  private:
   // ServerSide::Handler
@@ -60,6 +68,7 @@
   ServerSide servers_;
   ClientSide clients_;
   Discovery discovery_;
+  std::vector<Front*> fronts_;
   Micros stopping_since_ = 0;
   bool done_ = false;
 };
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -578,6 +578,11 @@
   }
 }
 
+std::string ServerSide::address_of(const std::string& server) const {
+  auto at = pools_.find(server);
+  return at == pools_.end() || !at->second->wanted ? std::string() : at->second->dial;
+}
+
 std::pair<std::string, std::uint64_t> ServerSide::most_given_up() {
   std::pair<std::string, std::uint64_t> most;
   for (auto& [id, pool] : pools_) {
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -69,6 +69,8 @@
   void flush();
   bool dirty() const { return !dirty_.empty(); }
   std::size_t connections() const { return total_; }
+  /// Where a server that wants anything new is reached; empty for any other.
+  std::string address_of(const std::string& server) const;
   /// The server at which most attempts were given up since the last call, and how many.
   std::pair<std::string, std::uint64_t> most_given_up();
   /// Servers of which anything is kept.
--- a/tests/app/check.sh
+++ b/tests/app/check.sh
@@ -20,4 +20,5 @@
 "$1" run "$dir/bad.json" 2>"$dir/said" && exit 1
 grep -q 'binary.server: no such setting$' "$dir/said" || exit 1
 "$1" check "$(dirname "$0")/../../deploy/wheeldeal.json" | grep -q "2 rules for binary servers$"
+"$1" check "$(dirname "$0")/../../deploy/extproc.json" >/dev/null
 "$1" --version | grep -q '^wheeldeal [0-9]'
--- /dev/null
+++ b/tests/extproc/server_test.cpp
@@ -0,0 +1,224 @@
+// The external processor over loopback: a caller on a real socket, beside meta clients of the
+// router.
+#include "extproc/server.hpp"
+
+#include "../grpc/caller.hpp"
+#include "../loopback.hpp"
+#include "envoy/service/ext_proc/v3/external_processor.pb.h"
+#include "grpc/health/v1/health.pb.h"
+
+namespace arrowfork::extproc {
+namespace {
+
+namespace pb = envoy::service::ext_proc::v3;
+using test::Link;
+
+const char* const kProcess = "/envoy.service.ext_proc.v3.ExternalProcessor/Process";
+
+class ServerTest : public testing::Test {
+ protected:
+  ServerTest() {
+    config_.hosts = {test::host_json("s-1", server_.address())};
+    settings_.listen = "127.0.0.1:0";
+    settings_.read_type = "read";
+    settings_.write_type = "put";
+  }
+  void start() {
+    std::promise<std::uint16_t> port;
+    auto known = port.get_future();
+    router_ = std::make_unique<test::RunningRouter>(
+        config_, nullptr, nullptr,
+        [&](event_base* base, const TimeSource& clock, Router& router) -> std::unique_ptr<Front> {
+          auto made = std::make_unique<Server>(
+              base, clock, router.core(), settings_, router.report_fields(),
+              [&router](const std::string& id) { return router.address_of(id); });
+          port.set_value(made->port());
+          return made;
+        });
+    port_ = known.get();
+    link_ = Link::to(port_);
+  }
+  /// Carries bytes until `done`, or the peer ends, or the patience is over.
+  bool until(const std::function<bool()>& done) {
+    auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(test::kPatienceMs);
+    while (!done()) {
+      if (std::string out = caller_.send(); !out.empty()) link_.write(out);
+      pollfd p{link_.fd(), POLLIN, 0};
+      if (::poll(&p, 1, 10) == 1) {
+        char data[65536];
+        ssize_t got = ::recv(link_.fd(), data, sizeof data, 0);
+        if (got <= 0) return done();
+        caller_.recv({data, static_cast<std::size_t>(got)});
+      }
+      if (std::chrono::steady_clock::now() > end) return false;
+    }
+    return true;
+  }
+  std::int32_t ask(const std::string& id) {
+    auto call = caller_.call(kProcess);
+    pb::ProcessingRequest request;
+    for (const auto& [name, value] : {std::pair<std::string, std::string>{":method", "GET"},
+                                      {"x-request-id", id},
+                                      {"x-price-key", "k"}}) {
+      auto* h = request.mutable_request_headers()->mutable_headers()->add_headers();
+      h->set_key(name);
+      h->set_raw_value(value);
+    }
+    caller_.message(call, request.SerializeAsString());
+    return call;
+  }
+  pb::ProcessingResponse answer(std::int32_t call, std::size_t number = 0) {
+    pb::ProcessingResponse r;
+    EXPECT_TRUE(until([&] { return caller_.messages(call).size() > number; }));
+    if (caller_.messages(call).size() > number) r.ParseFromString(caller_.messages(call)[number]);
+    return r;
+  }
+  std::string endpoint(const pb::ProcessingResponse& r) {
+    return r.has_request_headers() ? r.request_headers()
+                                         .response()
+                                         .header_mutation()
+                                         .set_headers(0)
+                                         .header()
+                                         .raw_value()
+                                   : "";
+  }
+
+  test::Peer server_;
+  test::ConfigText config_;
+  ExtProcSettings settings_;
+  std::unique_ptr<test::RunningRouter> router_;
+  std::uint16_t port_ = 0;
+  Link link_;
+  test::Caller caller_;
+};
+
+TEST_F(ServerTest, ACallerIsToldTheAddressAndReportsBack) {
+  start();
+  auto call = ask("r1");
+  EXPECT_EQ(endpoint(answer(call)), server_.address());
+  pb::ProcessingRequest report;
+  auto* h = report.mutable_response_headers()->mutable_headers()->add_headers();
+  h->set_key(":status");
+  h->set_raw_value("200");
+  caller_.message(call, report.SerializeAsString());
+  EXPECT_TRUE(answer(call, 1).has_response_headers());
+  caller_.half_close(call);
+  EXPECT_TRUE(until([&] { return caller_.seen[call].closed; }));
+  EXPECT_EQ(caller_.seen[call].headers["grpc-status"], "0");
+  // The same core serves meta clients meanwhile.
+  Link client = router_->client();
+  client.write("mg key v Om1 Pc=read,t=acme,d=15000\r\n");
+  Link at_server = server_.accept();
+  EXPECT_EQ(test::id_of(at_server.line()), "m1");
+  at_server.write(test::value_answer("m1", "v"));
+  EXPECT_EQ(client.line(), "VA 1 Om1\r\n");
+}
+
+TEST_F(ServerTest, HealthIsToldOnceAndWatched) {
+  start();
+  ::grpc::health::v1::HealthCheckRequest request;
+  ::grpc::health::v1::HealthCheckResponse response;
+  auto check = caller_.call("/grpc.health.v1.Health/Check");
+  caller_.message(check, request.SerializeAsString());
+  EXPECT_TRUE(until([&] { return caller_.seen[check].closed; }));
+  ASSERT_EQ(caller_.messages(check).size(), 1u);
+  response.ParseFromString(caller_.messages(check)[0]);
+  EXPECT_EQ(response.status(), ::grpc::health::v1::HealthCheckResponse::SERVING);
+  request.set_service("nobody");
+  auto unknown = caller_.call("/grpc.health.v1.Health/Check");
+  caller_.message(unknown, request.SerializeAsString());
+  EXPECT_TRUE(until([&] { return caller_.seen[unknown].closed; }));
+  EXPECT_EQ(caller_.seen[unknown].headers["grpc-status"], "5");
+  auto other = caller_.call("/some.Other/Method");
+  EXPECT_TRUE(until([&] { return caller_.seen[other].closed; }));
+  EXPECT_EQ(caller_.seen[other].headers["grpc-status"], "12");
+  request.clear_service();
+  auto watch = caller_.call("/grpc.health.v1.Health/Watch");
+  caller_.message(watch, request.SerializeAsString());
+  EXPECT_TRUE(until([&] { return caller_.messages(watch).size() == 1; }));
+  router_->terminate();
+  EXPECT_TRUE(until([&] { return caller_.messages(watch).size() == 2; }));
+  response.ParseFromString(caller_.messages(watch)[1]);
+  EXPECT_EQ(response.status(), ::grpc::health::v1::HealthCheckResponse::NOT_SERVING);
+  caller_.reset(watch);
+  until([&] { return false; });  // to the connection's end
+  router_->wait_for_end();
+}
+
+TEST_F(ServerTest, APlannedEndFinishesWhatIsOpen) {
+  start();
+  auto call = ask("r1");
+  EXPECT_EQ(endpoint(answer(call)), server_.address());
+  router_->terminate();
+  EXPECT_TRUE(until([&] { return caller_.goaway; }));
+  pb::ProcessingRequest report;
+  auto* h = report.mutable_response_headers()->mutable_headers()->add_headers();
+  h->set_key(":status");
+  h->set_raw_value("200");
+  caller_.message(call, report.SerializeAsString());
+  EXPECT_TRUE(answer(call, 1).has_response_headers());
+  caller_.half_close(call);
+  EXPECT_TRUE(until([&] { return caller_.seen[call].closed; }));
+  link_.close();
+  router_->wait_for_end();
+}
+
+TEST_F(ServerTest, MoreConnectionsThanTheLimitAreClosedAndGarbageHarmsNobody) {
+  settings_.connections = 2;
+  start();
+  Link second = Link::to(port_);
+  auto call = ask("r1");
+  EXPECT_EQ(endpoint(answer(call)), server_.address());
+  Link third = Link::to(port_);
+  EXPECT_TRUE(third.ends());
+  second.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(200, 'x'));
+  while (!second.bytes(1).empty()) {
+  }
+  auto again = ask("r2");
+  EXPECT_EQ(endpoint(answer(again)), server_.address());
+}
+
+TEST_F(ServerTest, ConnectionsLostAtAnyPointLeaveNothing) {
+  start();
+  for (int k = 0; k < 60; ++k) {
+    link_ = Link::to(port_);
+    test::Caller fresh;
+    auto id = fresh.call(kProcess);
+    fresh.message(id, std::string(static_cast<std::size_t>(k), '\x0a'));
+    std::string bytes = fresh.send();
+    link_.write(std::string_view(bytes).substr(0, bytes.size() * static_cast<std::size_t>(k) / 60));
+    k % 2 ? link_.send_reset() : link_.close();
+  }
+  link_ = Link::to(port_);
+  auto call = ask("r1");
+  EXPECT_EQ(endpoint(answer(call)), server_.address());
+}
+
+TEST(ExtProcConfig, IsReadAndSlipsAreNamed) {
+  auto complaint = [](const std::string& object) -> std::string {
+    test::ConfigText c;
+    std::string text = c.text();
+    text.insert(1, "\"ext_proc\":" + object + ",");
+    try {
+      Config config = parse_config(text);
+      return config.ext_proc->listen + ' ' + config.ext_proc->read_type + ' ' +
+             config.ext_proc->write_type + ' ' + config.ext_proc->key_header + ' ' +
+             std::to_string(config.ext_proc->streams);
+    } catch (const ConfigError& e) {
+      return e.what();
+    }
+  };
+  EXPECT_EQ(complaint(R"({"listen":"127.0.0.1:9","key_header":"X-Key","streams":5})"),
+            "127.0.0.1:9 read put x-key 5");
+  EXPECT_EQ(complaint("{}"), "ext_proc.listen: missing");
+  EXPECT_EQ(complaint(R"({"lisen":"a"})"), "ext_proc.lisen: no such setting");
+  EXPECT_EQ(complaint(R"({"listen":"a","streams":0})"),
+            "ext_proc.streams: no whole number from 1 to 1000000");
+  EXPECT_EQ(complaint(R"({"listen":"a","read_class":"put"})"),
+            "ext_proc.read_class: 'put' is no class that fits");
+  EXPECT_EQ(complaint(R"({"listen":"a","connections":250})"),
+            "ext_proc.connections: limits.sockets leaves no room for them");
+}
+
+}  // namespace
+}  // namespace arrowfork::extproc
--- a/tests/grpc/server_session_test.cpp
+++ b/tests/grpc/server_session_test.cpp
@@ -118,6 +118,8 @@
   EXPECT_TRUE(exchange());
   EXPECT_EQ(caller_.seen[id].headers["grpc-status"], "14");
   EXPECT_EQ(caller_.seen[id].headers["grpc-message"], "no 100%25%0A");
+  EXPECT_TRUE(caller_.seen[id].closed);  // though the caller has not half-closed
+  EXPECT_EQ(session_->open_calls(), 0u);
   EXPECT_EQ(log_, (Log{"call /a.B/C 0", "message x"}));
   EXPECT_EQ(open_, 0);
 }
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -201,8 +201,8 @@
                              const std::string& health = "active", long long born_ms = 0,
                              const std::string& kind = "std") {
   return R"({"host":")" + id + R"(","dial":")" + dial + R"(","site":"a","class":")" + kind +
-         R"(","block":0,"health":")" + health +
-         R"(","share":1.0,"born_ms":)" + std::to_string(born_ms) + "}";
+         R"(","block":0,"health":")" + health + R"(","share":1.0,"born_ms":)" +
+         std::to_string(born_ms) + "}";
 }
 
 inline std::string list_json(int seq, bool whole, const std::vector<std::string>& hosts) {
@@ -222,21 +222,23 @@
   bool may_cancel = true;
   long long keepalive_us = 15'000'000;
   long long dial_timeout_us = 75'000;
-  std::string binary;         // the object, where there is one
-  std::string origin_kind;    // aside mode, with this kind as its origin
+  std::string binary;       // the object, where there is one
+  std::string origin_kind;  // aside mode, with this kind as its origin
 
   std::string text() const {
     return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discovery +
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":128,"sockets":)" +
            std::to_string(sockets) + R"(},"known":)" + list_json(1, true, hosts) +
            (binary.empty() ? "" : R"(,"binary":)" + binary) +
-           R"(,"settings":{"Az":"a","Tenants":[{"Name":"acme","Portion":0.5},{"Name":"zeta","Portion":0.5}],"Balancers":)" + std::to_string(routers) +
+           R"(,"settings":{"Az":"a","Tenants":[{"Name":"acme","Portion":0.5},{"Name":"zeta","Portion":0.5}],"Balancers":)" +
+           std::to_string(routers) +
            R"(,"Classes":[
              {"Name":"read","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"repeatable","Worth":3.0},
              {"Name":"put","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"by_key","Group":"all","KeyTtlUs":5000000,"Worth":2.0},
              {"Name":"pay","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"once","Worth":2.0}],
              "FailureDomains":["a"],"MachineTypes":["std","ledger"],"Domain":{"Mode":")" +
-           (origin_kind.empty() ? R"(through","OriginKind":-1)" : R"(aside","OriginKind":1)") + R"(},
+           (origin_kind.empty() ? R"(through","OriginKind":-1)" : R"(aside","OriginKind":1)") +
+           R"(},
              "Limits":{"MaxAttempts":5,"MaxRetryAfterUs":1000000,"MayCancel":)" +
            (may_cancel ? "true" : "false") + R"(,"SecondCopies":false,"StreamsPerConn":)" +
            std::to_string(streams) + R"(,"KeepaliveUs":)" + std::to_string(keepalive_us) +
@@ -251,20 +253,24 @@
 /// A router on a thread of its own, ended without a drain unless terminate() is called.
 class RunningRouter {
  public:
-  /// `clock` and `tap` outlive it.
+  using Attach = std::function<std::unique_ptr<Front>(event_base*, const TimeSource&, Router&)>;
+  /// `clock` and `tap` outlive it. `attach` makes a further front.
   explicit RunningRouter(const ConfigText& config, const TimeSource* clock = nullptr,
-                         SeamTap* tap = nullptr) {
+                         SeamTap* tap = nullptr, Attach attach = nullptr) {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) ADD_FAILURE() << "pipe";
     orders_ = Fd(ends[1]);
     std::promise<std::uint16_t> port;
     auto known = port.get_future();
-    thread_ = std::thread([this, config, in = ends[0], &port, clock, tap] {
+    thread_ = std::thread([this, config, in = ends[0], &port, clock, tap, attach] {
       Fd order(in);
       EventBasePtr base(event_base_new());
       Clock own;
       Router router(base.get(), parse_config(config.text()), clock ? *clock : own);
       router.core().set_tap(tap);
+      std::unique_ptr<Front> front;
+      if (attach) front = attach(base.get(), clock ? *clock : own, router);
+      if (front) router.add_front(*front);
       std::string error;
       if (!router.listen(error)) ADD_FAILURE() << error;
       struct Told {
