External processor: slow callers are given up, unknown repeats of writes fail

A second reading found three holes. A caller that asked on and read nothing made answers pile up without a bound, since the bound was looked at only when something left; one whose connection was ending could keep it for good by not reading; and a further attempt of a write that the router did not know, after a restart, was sent as a first one, though an earlier may have run.

Change: recv() holds the bound too (1 MiB a connection, was 4), a stall of 2 s ends a connection, and such a write gets 503 unless it bears an idempotency key.

--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -221,6 +221,13 @@
     if (e.attempt >= 0) tell(e);  // decided while nobody was there
     return;
   }
+  // A further attempt of a write that is not known here: an earlier one may have run, before a
+  // restart or by another router's word, and nothing drops the repeat.
+  if (count > 1 && r.write && r.idempotency.empty()) {
+    ++counts_.failed;
+    streams_.erase(stream);
+    return immediate(stream, 503, "failed");
+  }
   auto owner = std::make_unique<Exchange>(*this);
   Exchange& e = *owner;
   switch (core_.take(std::move(r), e, *this, e.id)) {
--- a/src/extproc/server.cpp
+++ b/src/extproc/server.cpp
@@ -20,6 +20,8 @@
 
 // How often health is told anew, idle connections are looked for and final answers forgotten.
 constexpr Micros kSweep = kSecond / 4;
+// A peer that takes none of its answers for this long is given up, as on the other listener.
+constexpr Micros kStallTime = 2 * kSecond;
 constexpr std::size_t kRead = 64u << 10;
 
 Rules rules_of(const ExtProcSettings& s) {
@@ -98,7 +100,9 @@
   void sweep(bool serving) {
     for (auto& [call, told] : watches_)
       if (std::exchange(told, serving) != serving) tell_health(call, serving);
-    if (session_->open_calls() > 0) since_ = server_.clock_.now();
+    Micros now = server_.clock_.now();
+    if (session_->open_calls() > 0) since_ = now;
+    over_ |= stalled_since_ && now - stalled_since_ > kStallTime;
   }
   bool idle(Micros now, Micros most) const {
     return session_->open_calls() == 0 && now - since_ > most;
@@ -114,10 +118,12 @@
       ssize_t put = ::send(fd_.get(), out_.data(), out_.size(), MSG_NOSIGNAL);
       if (put < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
         session_->note_unsent(out_.size());
+        if (!stalled_since_) stalled_since_ = server_.clock_.now();
         event_add(write_.get(), nullptr);
         return true;
       }
       if (put < 0) return false;
+      stalled_since_ = 0;
       out_.erase(0, static_cast<std::size_t>(put));
       session_->note_unsent(out_.size());
     }
@@ -182,7 +188,8 @@
   std::string out_;
   bool over_ = false;    // the peer has ended it
   bool ending_ = false;  // closes once what is due is written
-  Micros since_;         // its connect, its last bytes, or its last open call
+  Micros stalled_since_ = 0;
+  Micros since_;  // its connect, its last bytes, or its last open call
   std::unordered_map<grpc::CallId, Kind> kinds_;
   std::unordered_map<grpc::CallId, bool> watches_;  // what each was told last
   std::unique_ptr<grpc::ServerSession> session_;    // its end tells of calls that are gone
--- a/src/grpc/server_session.cpp
+++ b/src/grpc/server_session.cpp
@@ -360,6 +360,9 @@
     broken_ = true;
   } else if (broken_) {  // a limit: RFC 9113, 7
     nghttp2_session_terminate_session(session_, NGHTTP2_ENHANCE_YOUR_CALM);
+  } else if (held_ + unsent_ > limits_.out_bytes) {  // it asks on and reads nothing
+    ++counts_.slow_readers;
+    broken_ = true;
   }
   return !broken_ && (nghttp2_session_want_read(session_) || nghttp2_session_want_write(session_));
 }
--- a/src/grpc/server_session.hpp
+++ b/src/grpc/server_session.hpp
@@ -59,7 +59,7 @@
     std::size_t message_bytes = 64u << 10;       ///< of one message
     std::uint32_t stream_window = 128u << 10;    ///< bytes a caller may send ahead on a call
     std::uint32_t connection_window = 1u << 20;  ///< and on the whole connection
-    std::size_t out_bytes = 4u << 20;            ///< answers that wait for a slow reader
+    std::size_t out_bytes = 1u << 20;            ///< answers that wait for a slow reader
     /// Calls that the peer reset within a second before it is sent away: each costs a decision and
     /// its undoing ("rapid reset", CVE-2023-44487).
     std::uint32_t resets_per_s = 200;
--- a/tests/extproc/processor_test.cpp
+++ b/tests/extproc/processor_test.cpp
@@ -197,6 +197,14 @@
   EXPECT_NE(endpoint(fourth), endpoint(third));
 }
 
+TEST_F(ProcessorTest, AFurtherAttemptOfAnUnknownWriteIsFailedUnlessItHasAKey) {
+  Fields again = {{":method", "PUT"}, {"x-envoy-attempt-count", "2"}};
+  EXPECT_EQ(status(ask("w1", again)), 503);
+  again.emplace_back("idempotency-key", "k");
+  EXPECT_NE(endpoint(ask("w2", again)), "");
+  EXPECT_NE(endpoint(ask("r1", {{"x-envoy-attempt-count", "2"}})), "");  // a read
+}
+
 TEST_F(ProcessorTest, TheSameAttemptTwiceAtOnceIsTurnedDown) {
   StreamId first = ask("r1");
   StreamId twin = ask("r1");
--- a/tests/grpc/server_session_test.cpp
+++ b/tests/grpc/server_session_test.cpp
@@ -285,6 +285,21 @@
   EXPECT_EQ(counts_.slow_readers, 1u);
 }
 
+TEST_F(SessionTest, ACallerThatAsksOnAndReadsNothingIsGivenUp) {
+  limits_.out_bytes = 10'000;
+  start();
+  auto id = caller_.call("/a.B/C");
+  EXPECT_TRUE(exchange());
+  bool good = true;
+  int asked = 0;
+  for (; asked < 1000 && good; ++asked) {  // nothing of what it is owed is taken off the session
+    caller_.message(id, std::string(95, 'm'));
+    good = session_->recv(caller_.send());
+  }
+  EXPECT_LT(asked, 120);
+  EXPECT_EQ(counts_.slow_readers, 1u);
+}
+
 TEST_F(SessionTest, GoingAwayFinishesWhatIsOpen) {
   start();
   auto id = caller_.call("/a.B/C");
