--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -219,7 +219,8 @@
     /// Refused at the door, for want of a server, and after attempts that never ran.
     std::uint64_t turned_away = 0, unsendable = 0, given_up = 0;
     double shed_fetched = 0,
-           shed_held = 0;  ///< parts refused now, of keys to fetch and of those held
+           shed_held = 0;  ///< parts refused lately, of keys to fetch and of those held
+    double fetch_limit = 0, fetches_out = 0;  ///< fetches from the origin: may be out, and are
     /// Per attempt lately.
     double late = 0, errors = 0, full = 0, unreachable = 0, spoilt = 0;
     double utilization = 0;  ///< mean of reports lately
--- /dev/null
+++ b/src/emu/day.cpp
@@ -0,0 +1,527 @@
+#include "day.hpp"
+
+#include <algorithm>
+#include <boost/random/exponential_distribution.hpp>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <set>
+#include <tuple>
+
+#include "../core/core.hpp"
+
+namespace arrowfork::emu {
+namespace {
+
+using boost::random::uniform_01;
+
+/// Ranks by Zipf's law, from a table.
+class Popularity {
+ public:
+  Popularity(int keys, double exponent) {
+    double sum = 0;
+    for (int k = 1; k <= keys; ++k) sums_.push_back(sum += std::pow(k + 3, -exponent));
+  }
+  int draw(Random& random) const {
+    double at = uniform_01<>()(random) * sums_.back();
+    return static_cast<int>(std::lower_bound(sums_.begin(), sums_.end(), at) - sums_.begin());
+  }
+
+ private:
+  std::vector<double> sums_;
+};
+
+class Day;
+
+/// A router without sockets: the core, and attempts carried straight to the model.
+class ModelRouter final : public Carrier, public Lister, public SeamTap {
+ public:
+  ModelRouter(Day& day, int number, const robinseam::Settings& settings, std::uint64_t seed);
+  void start(std::vector<robinseam::Server> known);
+  void list(std::vector<robinseam::Server> servers);
+  /// Lets the core do what is due, and wakes it again when something will be.
+  void turn();
+  Core& core() { return core_; }
+  std::size_t out() const { return out_.size(); }
+
+ private:
+  using Name = std::pair<RequestId, int>;
+  void send(const std::string& server, RequestId id, int attempt, const Request& request,
+            Micros wait) override;
+  Status cancel(const std::string& server, RequestId id, int attempt) override;
+  bool keeps_key(const Request&) const override { return true; }
+  void watch() override;
+  void fetch() override {}
+  void on_call(Micros now, const char* call, RequestId id,
+               const robinseam::Actions& actions) override;
+
+  Day& day_;
+  const int number_;
+  Core core_;
+  std::map<Name, std::shared_ptr<bool>> out_;  // whether it has been given up
+  std::map<std::string, int> idle_;            // connections that can be used again
+  std::map<std::string, Micros> gone_since_;   // by the list, as this router heard it
+  std::map<std::string, Micros> writes_;       // first send of each idempotency key
+  Micros woken_at_ = 0;
+  bool turning_ = false;
+};
+
+/// One purchase or scan: its tries, one after the other.
+class Till final : public ReplySink, public std::enable_shared_from_this<Till> {
+ public:
+  Till(Day& day, int second, int router, Request request, Micros aim, Micros deadline);
+  void ask();
+
+ private:
+  void on_reply(const Request&, Reply&& reply) override;
+  void give_up(int number);
+  void again(Micros pause);
+  void end(bool served);
+
+  Day& day_;
+  int second_, router_;
+  Request request_;
+  Micros begun_, aim_, deadline_;
+  int tries_ = 0;
+  bool waiting_ = false, ended_ = false;
+  RequestId id_ = 0;
+  std::shared_ptr<Till> self_;  // until its last try has ended
+};
+
+class Day {
+ public:
+  Day(const DayPlan& plan, std::uint64_t seed);
+  DayReport run();
+
+  Second& second() {
+    auto k = static_cast<std::size_t>((time.now() - begun) / kSecond);
+    return report.seconds[std::min(k, report.seconds.size() - 1)];
+  }
+  void fold(std::uint64_t value) {
+    report.fingerprint = (report.fingerprint ^ value) * 0x100000001b3ULL;
+  }
+
+  DayPlan plan;
+  VirtualTime time;
+  Fleet fleet;
+  Random random;
+  Micros begun;
+  DayReport report;
+  std::vector<std::unique_ptr<ModelRouter>> routers;
+
+ private:
+  void next_arrival();
+  void arrive();
+  void begin(const Trigger& trigger);
+  void end(const Trigger& trigger);
+  void tell_list();
+  std::vector<robinseam::Server> listed() const;
+  std::size_t part_of(const Trigger& trigger) const;
+
+  Popularity popularity_;
+  std::set<std::string> left_;  // servers that are not on the list
+  double load_ = 1, scan_ = 0, storm_ = 1, storm_part_ = 0;
+  std::uint64_t scanned_ = 0, receipts_ = 0;
+};
+
+// ---- routers ----
+
+ModelRouter::ModelRouter(Day& day, int number, const robinseam::Settings& settings,
+                         std::uint64_t seed)
+    : day_(day), number_(number), core_(settings, seed, day.time, *this, 10'000, 100'000) {
+  core_.set_tap(this);
+}
+
+void ModelRouter::start(std::vector<robinseam::Server> known) {
+  core_.start(std::move(known));
+  turn();
+}
+
+void ModelRouter::watch() { core_.list(robinseam::ListScope::Delta, {}); }
+
+void ModelRouter::list(std::vector<robinseam::Server> servers) {
+  std::set<std::string> named;
+  for (const auto& s : servers) named.insert(s.id), gone_since_.erase(s.id);
+  for (auto& server : day_.fleet.servers())
+    if (!named.count(server->id())) gone_since_.emplace(server->id(), day_.time.now());
+  core_.list(robinseam::ListScope::Full, std::move(servers));
+  turn();
+}
+
+void ModelRouter::turn() {
+  if (std::exchange(turning_, true)) return;
+  core_.turn();
+  turning_ = false;
+  Micros next = core_.next_timer(), now = day_.time.now();
+  if (!next || (woken_at_ > now && woken_at_ <= next)) return;
+  woken_at_ = std::max(next, now + 1);
+  day_.time.at(woken_at_, [this, when = woken_at_] {
+    if (woken_at_ == when) woken_at_ = 0;
+    turn();
+  });
+}
+
+void ModelRouter::on_call(Micros now, const char* call, RequestId id,
+                          const robinseam::Actions& actions) {
+  day_.fold(static_cast<std::uint64_t>(now));
+  day_.fold(static_cast<std::uint64_t>(call[0]) + id * 256 + static_cast<unsigned>(number_));
+  for (const auto& action : actions) {
+    day_.fold(action.index());
+    if (auto* send = std::get_if<robinseam::Send>(&action))
+      for (char c : send->server) day_.fold(static_cast<unsigned char>(c));
+    if (auto* refuse = std::get_if<robinseam::Refuse>(&action))
+      day_.fold(static_cast<std::uint64_t>(refuse->wait));
+  }
+}
+
+void ModelRouter::send(const std::string& server, RequestId id, int attempt, const Request& request,
+                       Micros) {
+  Micros now = day_.time.now();
+  ++day_.second().attempts;
+  if (auto gone = gone_since_.find(server); gone != gone_since_.end())
+    day_.report.to_left += now - gone->second > day_.plan.settings.drain_grace;
+  if (request.write) {
+    auto [first, fresh] = writes_.emplace(request.idempotency, now);
+    if (!fresh)
+      day_.report.doubled_effects += now - first->second > day_.plan.settings.classes[1].key_ttl;
+  }
+  bool dial = idle_[server] == 0;
+  if (dial)
+    ++day_.second().dials;
+  else
+    --idle_[server];
+  auto given_up = std::make_shared<bool>(false);
+  out_[{id, attempt}] = given_up;
+  Micros way = day_.fleet.plan().one_way * (dial ? 3 : 1);
+  auto done = [this, id, attempt, server, given_up](const Answer& answer) {
+    if (*given_up) return;
+    out_.erase({id, attempt});
+    ++idle_[server];
+    Second& second = day_.second();
+    second.full += answer.status == Status::Full;
+    second.errors += answer.status == Status::Error;
+    AttemptResult result;
+    result.note = answer.note;
+    result.report = {answer.utilization, answer.service_ms, answer.hit_share};
+    core_.attempt_ended(id, attempt, answer.status, std::move(result));
+    turn();
+  };
+  day_.time.after(way, [this, server, request, dial, given_up, done = std::move(done)] {
+    if (CacheModel* model = day_.fleet.find(server))
+      model->arrive(request, dial, given_up, std::move(done));
+  });
+}
+
+/// The connection is closed with it, which is what tells the server.
+Status ModelRouter::cancel(const std::string&, RequestId id, int attempt) {
+  ++day_.second().timeouts;
+  auto it = out_.find({id, attempt});
+  if (it == out_.end()) return Status::Cancelled;
+  *it->second = true;
+  out_.erase(it);
+  return Status::Cancelled;
+}
+
+// ---- tills ----
+
+Till::Till(Day& day, int second, int router, Request request, Micros aim, Micros deadline)
+    : day_(day),
+      second_(second),
+      router_(router),
+      request_(std::move(request)),
+      begun_(day.time.now()),
+      aim_(aim),
+      deadline_(deadline) {}
+
+void Till::ask() {
+  self_ = shared_from_this();
+  ++tries_;
+  ++day_.second().tries;
+  Micros now = day_.time.now();
+  Micros left = begun_ + deadline_ - now;
+  Request r = request_;
+  r.patience = std::min(
+      left, static_cast<Micros>(day_.plan.tills.try_share * static_cast<double>(deadline_)));
+  Micros patience = r.patience;
+  waiting_ = true;
+  ModelRouter& router = *day_.routers[static_cast<std::size_t>(router_)];
+  if (router.core().take(std::move(r), *this, router, id_) != Core::Taken::Yes) {
+    waiting_ = false;
+    return again(day_.plan.tills.pause);
+  }
+  day_.time.after(patience + day_.plan.settings.answer_slack + 50 * kMillisecond,
+                  [self = shared_from_this(), number = tries_] { self->give_up(number); });
+  router.turn();
+}
+
+void Till::on_reply(const Request&, Reply&& reply) {
+  if (!std::exchange(waiting_, false)) {
+    ++day_.report.answers_twice;
+    return;
+  }
+  if (reply.kind == Reply::Kind::Served) return end(true);
+  day_.second().refused += reply.kind == Reply::Kind::Refused;
+  again(day_.plan.tills.honours_wait ? std::max(reply.come_back, day_.plan.tills.pause)
+                                     : day_.plan.tills.pause);
+}
+
+/// No final answer came in the try's time: the router broke its first rule.
+void Till::give_up(int number) {
+  if (!waiting_ || number != tries_) return;
+  waiting_ = false;
+  ++day_.report.answers_missing;
+  day_.routers[static_cast<std::size_t>(router_)]->core().gone(id_);
+  again(day_.plan.tills.pause);
+}
+
+void Till::again(Micros pause) {
+  // The way to the router and back.
+  Micros at = day_.time.now() + std::max<Micros>(pause, 0) + 2 * day_.plan.fleet.one_way;
+  if (tries_ >= day_.plan.tills.tries || at >= begun_ + deadline_) return end(false);
+  day_.time.at(at, [self = shared_from_this()] { self->ask(); });
+}
+
+void Till::end(bool served) {
+  if (std::exchange(ended_, true)) return;
+  Second& s = day_.report.seconds[static_cast<std::size_t>(second_)];
+  bool in_time = served && day_.time.now() - begun_ <= aim_;
+  ++(in_time ? s.in_time : served ? s.late : s.unserved);
+  std::size_t banner = request_.tenant == day_.plan.settings.tenants[1].name;
+  day_.report.banners[banner].served += served;
+  day_.report.classes[request_.write].served += served;
+  day_.time.after(0, [self = std::move(self_)] {});
+}
+
+// ---- the day ----
+
+Day::Day(const DayPlan& plan, std::uint64_t seed)
+    : plan(plan),
+      fleet(time, this->plan.fleet, seed * 2 + 1),
+      random(seed * 2),
+      begun(time.now()),
+      popularity_(plan.tills.keys, plan.tills.zipf) {
+  report.seconds.resize(static_cast<std::size_t>(plan.lasts / kSecond));
+  robinseam::Settings settings = plan.settings;
+  settings.routers = plan.routers;
+  for (int k = 0; k < plan.routers; ++k)
+    routers.push_back(
+        std::make_unique<ModelRouter>(*this, k, settings, seed * 1000 + static_cast<unsigned>(k)));
+}
+
+std::vector<robinseam::Server> Day::listed() const {
+  std::vector<robinseam::Server> all;
+  for (const auto& server : const_cast<Fleet&>(fleet).servers())
+    if (!left_.count(server->id())) all.push_back(fleet.listed(*server));
+  return all;
+}
+
+void Day::tell_list() {
+  time.after(plan.list_delay, [this, list = listed()] {
+    for (auto& router : routers) router->list(list);
+  });
+}
+
+std::size_t Day::part_of(const Trigger& t) const {
+  return static_cast<std::size_t>(std::lround(t.part * plan.fleet.servers));
+}
+
+void Day::begin(const Trigger& t) {
+  using Kind = Trigger::Kind;
+  auto& servers = fleet.servers();
+  for (std::size_t k = 0; k < part_of(t); ++k) {
+    CacheModel& s = *servers[k];
+    switch (t.kind) {
+      case Kind::Slow:
+        s.set_trouble(Trouble::Slow, t.factor);
+        break;
+      case Kind::Full:
+        s.set_trouble(Trouble::Full);
+        break;
+      case Kind::Silent:
+        s.set_trouble(Trouble::Silent);
+        break;
+      case Kind::Failing:
+        s.set_trouble(Trouble::Failing);
+        break;
+      case Kind::ColdRestart:
+        s.restart(t.factor, 8 * kSecond);
+        break;
+      case Kind::Misses:
+        s.restart(1, 0);
+        break;
+      case Kind::Shrink:
+        s.set_trouble(Trouble::Silent), left_.insert(s.id());
+        break;
+      default:
+        break;
+    }
+  }
+  if (t.kind == Kind::OriginSlow) fleet.origin().set_slowdown(t.factor);
+  if (t.kind == Kind::Load) load_ = t.factor;
+  if (t.kind == Kind::Scan) scan_ = t.factor;
+  if (t.kind == Kind::Storm) storm_ = t.factor, storm_part_ = t.part;
+  if (t.kind == Kind::Shrink || t.kind == Kind::ColdRestart) tell_list();
+}
+
+void Day::end(const Trigger& t) {
+  using Kind = Trigger::Kind;
+  auto& servers = fleet.servers();
+  for (std::size_t k = 0; k < part_of(t); ++k) {
+    servers[k]->set_trouble(Trouble::None);
+    if (t.kind != Kind::Shrink) continue;
+    servers[k]->restart(0.3, 8 * kSecond);
+    left_.erase(servers[k]->id());
+  }
+  if (t.kind == Kind::OriginSlow) fleet.origin().set_slowdown(1);
+  if (t.kind == Kind::Load) load_ = 1;
+  if (t.kind == Kind::Scan) scan_ = 0;
+  if (t.kind == Kind::Storm) storm_ = 1, storm_part_ = 0;
+  if (t.kind == Kind::Shrink) tell_list();
+}
+
+void Day::next_arrival() {
+  double stormy = storm_part_ * storm_ + (1 - storm_part_);
+  double rate = plan.tills.rate * load_ * stormy;
+  Micros gap = static_cast<Micros>(boost::random::exponential_distribution<>(rate)(random) * 1e6);
+  time.after(std::max<Micros>(gap, 1), [this] {
+    arrive();
+    next_arrival();
+  });
+}
+
+void Day::arrive() {
+  auto draw = [this] { return uniform_01<>()(random); };
+  auto number = static_cast<std::size_t>((time.now() - begun) / kSecond);
+  if (number >= report.seconds.size()) return;
+  Request r;
+  r.write = draw() < plan.tills.writes;
+  r.key = "k" + std::to_string(popularity_.draw(random));
+  if (!r.write && draw() < scan_) r.key = "once" + std::to_string(scanned_++);
+  const robinseam::ClassSettings& type = plan.settings.classes[r.write];
+  r.type = type.name;
+  std::size_t banner = draw() < plan.tills.second_share;
+  r.tenant = plan.settings.tenants[banner].name;
+  if (r.write) {
+    r.idempotency = std::to_string(++receipts_);
+    r.value = std::make_shared<const std::string>("sold");
+  }
+  Micros mean = r.write ? plan.fleet.write_work : plan.fleet.read_work;
+  r.work = std::max<Micros>(
+      1, static_cast<Micros>(static_cast<double>(mean) * spread(random, plan.fleet.work_cv)));
+  // Storming routers get their tills' multiple of the share.
+  double in_storm = storm_part_ * storm_ / (storm_part_ * storm_ + (1 - storm_part_));
+  int stormy = static_cast<int>(std::lround(storm_part_ * plan.routers));
+  int router = 0;
+  if (stormy > 0 && draw() < in_storm)
+    router = static_cast<int>(draw() * stormy);
+  else
+    router = stormy + static_cast<int>(draw() * (plan.routers - stormy));
+  router = std::min(router, plan.routers - 1);
+  ++report.seconds[number].asked;
+  ++report.banners[banner].asked;
+  ++report.classes[r.write].asked;
+  std::make_shared<Till>(*this, static_cast<int>(number), router, std::move(r), type.aim,
+                         type.deadline)
+      ->ask();
+}
+
+DayReport Day::run() {
+  if (plan.warm)
+    for (auto& server : fleet.servers())
+      for (int k = static_cast<int>(std::min<std::size_t>(plan.fleet.keeps, plan.tills.keys));
+           k-- > 0;)
+        server->hold("k" + std::to_string(k));
+  for (auto& router : routers) router->start(listed());
+  for (const Trigger& t : plan.triggers) {
+    time.at(begun + t.from, [this, t] { begin(t); });
+    time.at(begun + t.from + t.lasts, [this, t] { end(t); });
+  }
+  next_arrival();
+  for (std::size_t k = 0; k < report.seconds.size(); ++k) {
+    time.run_until(begun + static_cast<Micros>(k + 1) * kSecond - 1);
+    Second& s = report.seconds[k];
+    for (auto& server : fleet.servers()) s.busy += server->utilization() / plan.fleet.servers;
+    s.origin_queue = fleet.origin().waiting();
+    for (auto& router : routers) s.in_flight += router->out();
+    s.module = routers[0]->core().module_stats();
+  }
+  time.run_until(begun + plan.lasts + 3 * kSecond);
+  return std::move(report);
+}
+
+}  // namespace
+
+DayPlan usual_day(double capacity_share) {
+  DayPlan plan;
+  plan.fleet.read_work = 30 * kMillisecond;
+  plan.fleet.write_work = 45 * kMillisecond;
+  robinseam::Settings& s = plan.settings;
+  robinseam::ClassSettings read, write;
+  read.name = "price-lookup";
+  read.aim = 150 * kMillisecond;
+  read.deadline = 600 * kMillisecond;
+  read.worth = 3;
+  read.late_worth = 0.25;
+  write.name = "sale-record";
+  write.aim = 250 * kMillisecond;
+  write.deadline = kSecond;
+  write.worth = 2;
+  write.late_worth = 0.3;
+  write.effect = robinseam::Effect::Keyed;
+  write.key_ttl = 5 * kSecond;
+  s.classes = {read, write};
+  double capacity = plan.fleet.servers * plan.fleet.cores / 0.031;  // requests a second
+  plan.tills.rate = capacity * capacity_share;
+  s.tenants = {{"selam-stores", 0.56, 0.56 * capacity * 0.8},
+               {"koket-express", 0.44, 0.44 * capacity * 0.8}};
+  s.report_fields = {robinseam::ReportField::Utilization, robinseam::ReportField::LatencyMs,
+                     robinseam::ReportField::HitShare};
+  s.zone = "a";
+  s.zones = {"a"};
+  s.max_attempts = 5;
+  s.may_cancel = true;
+  s.second_copies = true;
+  s.worth_by_work = true;
+  s.max_retry_after = kSecond;
+  s.tick = 2 * kMillisecond;
+  s.over_share_worth = 0.05;
+  s.answer_slack = 8 * kMillisecond;
+  s.drain_grace = 500 * kMillisecond;
+  s.cold_share = 0.3;
+  s.cold_time = 8 * kSecond;
+  s.overload_factor = 4;
+  s.tip_after = 1500 * kMillisecond;
+  return plan;
+}
+
+double DayReport::served(int from, int to) const {
+  int asked = 0, got = 0;
+  for (int k = from; k < to && k < static_cast<int>(seconds.size()); ++k) {
+    asked += seconds[static_cast<std::size_t>(k)].asked;
+    got += seconds[static_cast<std::size_t>(k)].in_time + seconds[static_cast<std::size_t>(k)].late;
+  }
+  return asked == 0 ? 1 : static_cast<double>(got) / asked;
+}
+
+DayReport play(const DayPlan& plan, std::uint64_t seed) { return Day(plan, seed).run(); }
+
+std::string table(const DayReport& report) {
+  std::string text =
+      "   s asked  in%  late%  tries  refused  attempts  full  t/o  err dials  busy origin  out  "
+      "fetched  held\n";
+  for (std::size_t k = 0; k < report.seconds.size(); ++k) {
+    const Second& s = report.seconds[k];
+    double asked = std::max(1, s.asked);
+    char line[200];
+    std::snprintf(
+        line, sizeof line,
+        "%4zu %5d %4.0f %6.1f %6.2f %8d %9.2f %5d %4d %4d %5d %5.2f %6zu %4zu %8.2f %5.2f\n", k,
+        s.asked, 100 * s.in_time / asked, 100 * s.late / asked, s.tries / asked, s.refused,
+        s.attempts / asked, s.full, s.timeouts, s.errors, s.dials, s.busy, s.origin_queue,
+        s.in_flight, s.module.shed_fetched, s.module.fetch_limit);
+    text += line;
+  }
+  return text;
+}
+
+}  // namespace arrowfork::emu
--- /dev/null
+++ b/src/limits/limits.cpp
@@ -0,0 +1,133 @@
+#include "limits.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinseam::limits {
+namespace {
+
+constexpr Micros kMilli = 1000;
+// Budgets. Tokens per first try for further attempts and for second copies, and their caps.
+constexpr double kRetryPerRequest = 0.03;
+constexpr double kRetryCap = 10;
+constexpr double kCopyPerRequest = 0.03;
+constexpr double kCopyCap = 3;
+// Tokens for one more attempt, by Cause: a broken one has nothing to do with load and takes the
+// place of an attempt that served nothing. At its price the budget bears three of ten attempts that
+// fail so; should all servers break all connections, the bound is max_attempts for a request until
+// the tokens run out.
+constexpr std::array<double, 3> kPrice{0.1, 0.25, 1};
+// Fetches. The origin is shared by all routers and answers a fetch, so few at once reach far.
+constexpr WindowRules kFetchRules{};
+constexpr double kMissGain = 0.05;    // of one answer in the shares of misses
+constexpr double kMissUntold = 0.02;  // of one that was never answered
+constexpr double kHeldMisses = 0.05;  // presumed
+constexpr double kLostGain = 0.05;    // of one fetch in the part lost
+constexpr double kFetchLeast = 0.15;  // a smaller weight isn't worth an account
+// Which part of the window each kind may fill: what earns less leaves room for what earns more.
+constexpr double kPartRare = 0.8;   // a key that is not asked for often
+constexpr double kPartOver = 0.5;   // beyond its banner's share
+constexpr double kPartWrite = 1.2;  // a few in a hundred; nothing else can be served for them
+constexpr double kPartWorth = 0.6;  // what is worth next to nothing for its work
+constexpr double kTurnedHalf = 250.0 * kMilli;
+constexpr double kTurnedGain = 0.05;
+constexpr Micros kPressed = 100 * kMilli;
+// What a refusal tells the client to wait: about what a token of the retry budget takes to come,
+// and up to the most by the part that is refused.
+constexpr Micros kComeBack = 50 * kMilli;
+
+}  // namespace
+
+Limits::Limits(const Settings& settings)
+    : fetches_(kFetchRules),
+      miss_share_{1, kHeldMisses},
+      retry_tokens_(kRetryCap / 2),
+      copy_tokens_(kCopyCap / 2),
+      over_share_worth_(settings.over_share_worth),
+      max_wait_(settings.max_retry_after) {}
+
+double Limits::fetch_weight(const Ask& ask) const {
+  double weight = ask.write ? 1 : miss_share_[ask.held];
+  return weight < kFetchLeast ? 0 : weight;
+}
+
+double Limits::part(const Ask& ask) const {
+  return std::clamp(kPartWorth + (1 - kPartWorth) * ask.value, kPartWorth, 1.0) *
+         (1 - (1 - kPartOver) * ask.over_share);
+}
+
+bool Limits::admits(Micros now, const Ask& ask) {
+  double weight = fetch_weight(ask);
+  bool in = true;
+  if (weight > 0) {
+    double part = ask.write ? kPartWrite : ask.wanted || ask.held ? 1 : kPartRare;
+    part *= 1 - (1 - kPartOver) * ask.over_share;
+    in = fetches_.has_room(weight, part);
+    // Out of time before it has begun, going by what fetches take now; but a few always try.
+    if (in && fetches_.out() >= kFetchRules.least &&
+        fetches_.latency() > static_cast<double>(ask.remaining))
+      in = false;
+  }
+  note_turned(now, ask.held, !in);
+  return in;
+}
+
+void Limits::ended(Micros now, Micros sent_at, double weight, Evidence evidence, bool at_fault,
+                   Micros latency, int note, const Ask& ask) {
+  if (!ask.write) {
+    double& share = miss_share_[ask.held];
+    if (evidence == Evidence::Good && note > 0)
+      share += kMissGain * ((note > 1) - share);
+    else if (evidence == Evidence::Bad)
+      share += kMissUntold * (1 - share);
+  }
+  // A hit says nothing of the origin, but that it was not asked.
+  if (evidence == Evidence::Good && note == 1) evidence = Evidence::None;
+  if (evidence != Evidence::None)
+    fetches_lost_ += kLostGain * weight * ((evidence == Evidence::Bad) - fetches_lost_);
+  if (evidence == Evidence::Bad && at_fault) evidence = Evidence::None;
+  fetches_.ended(now, sent_at, weight, evidence, static_cast<double>(latency),
+                 static_cast<double>(ask.aim));
+}
+
+void Limits::earn() {
+  retry_tokens_ = std::min(kRetryCap, retry_tokens_ + kRetryPerRequest);
+  copy_tokens_ = std::min(kCopyCap, copy_tokens_ + kCopyPerRequest);
+}
+
+bool Limits::spend(Cause cause) {
+  double price = kPrice[static_cast<std::size_t>(cause)];
+  if (retry_tokens_ < price) return false;
+  retry_tokens_ -= price;
+  return true;
+}
+
+bool Limits::spend_copy() {
+  if (copy_tokens_ < 1) return false;
+  copy_tokens_ -= 1;
+  return true;
+}
+
+void Limits::note_turned(Micros now, bool held, bool refused) {
+  Turned& t = turned_[held];
+  t.share = this->refused(now, held);
+  t.at = now;
+  t.share += kTurnedGain * (refused - t.share);
+  if (refused) refused_at_ = now;
+}
+
+double Limits::refused(Micros now, bool held) const {
+  const Turned& t = turned_[held];
+  return t.share * std::exp2(-static_cast<double>(now - t.at) / kTurnedHalf);
+}
+
+bool Limits::pressed(Micros now) const { return refused_at_ >= 0 && now - refused_at_ < kPressed; }
+
+Micros Limits::come_back(Micros now, double chance) const {
+  double share = std::max(refused(now, false), refused(now, true));
+  double wait = static_cast<double>(kComeBack) + share * static_cast<double>(max_wait_ - kComeBack);
+  wait = std::min(wait, static_cast<double>(max_wait_));
+  return static_cast<Micros>(wait * (1 - 0.5 * chance));
+}
+
+}  // namespace robinseam::limits
--- /dev/null
+++ b/src/limits/limits.hpp
@@ -0,0 +1,93 @@
+// What may be out at once and what may be tried again: the decision module asks here before it
+// sends, and decides. Deterministic: time and events come in, nothing else.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+#include "robinseam/balancer.hpp"
+#include "window.hpp"
+
+namespace robinseam::limits {
+
+/// What admission looks at.
+struct Ask {
+  std::uint64_t who = 0;  ///< hash of key and tenant
+  bool held = false;      ///< some server likely holds the key
+  bool wanted = false;    ///< the key came often lately
+  bool write = false;
+  bool repeat = false;  ///< marked as one by the client
+  double value = 1;     ///< worth (for its work) as a part of what is usual
+  double over_share =
+      0;                 ///< part of its banner's traffic that is beyond the banner's share, 0 to 1
+  Micros remaining = 0;  ///< until the client gives it up
+  Micros aim = 0;        ///< an answer within it is in time
+};
+
+/// Of one server's own queue: latencies go by the request's cost, refusals as full are signals.
+inline constexpr WindowRules kServerRules{.least = 3, .start = 128};
+
+/// Why a further attempt is wanted. Each cause has its own price in the one budget.
+enum class Cause {
+  Broken,  ///< the connection broke, the answer was spoilt, or the server alone is at fault
+  Unseen,  ///< turned away as full: it cost no work
+  Load,    ///< late or failed
+};
+
+class Limits {
+ public:
+  explicit Limits(const Settings& settings);
+
+  /// Whether the request may go out now. Counts what it refuses.
+  bool admits(Micros now, const Ask& ask);
+  /// What an attempt is likely to load the origin with, 0 to 1 fetches.
+  double fetch_weight(const Ask& ask) const;
+  /// The same at a server that is not the key's own.
+  double spill_weight(const Ask& ask) const { return ask.write ? 1 : miss_share_[0]; }
+  /// The part of a server's window that is open to it: what earns less leaves room for what earns
+  /// more.
+  double part(const Ask& ask) const;
+  /// Whether a further attempt or copy of an admitted request has room.
+  bool has_room(double fetch_weight) const { return fetches_.has_room(fetch_weight); }
+
+  void sent(Micros now, double fetch_weight) { fetches_.sent(now, fetch_weight); }
+  /// `note` as Outcome::note.
+  /// `at_fault`: what single servers do and others don't, which tells nothing of the origin.
+  void ended(Micros now, Micros sent_at, double fetch_weight, Evidence evidence, bool at_fault,
+             Micros latency, int note, const Ask& ask);
+  /// The part of fetches lately that was lost, over all servers.
+  double fetches_lost() const { return fetches_lost_; }
+
+  /// A first try has come: budgets grow.
+  void earn();
+  bool spend(Cause cause);
+  bool spend_copy();
+  /// Requests are being refused now: what is spare goes to first tries.
+  bool pressed(Micros now) const;
+  /// How long a refused client should stay away; `chance` 0 to 1 spreads it.
+  Micros come_back(Micros now, double chance) const;
+
+  const Window& fetches() const { return fetches_; }
+  /// Part refused lately, of keys to fetch (0) and of held ones (1).
+  double refused(Micros now, bool held) const;
+
+ private:
+  struct Turned {
+    double share = 0;
+    Micros at = 0;
+  };
+  void note_turned(Micros now, bool held, bool refused);
+  bool known_repeat(Micros now, const Ask& ask);
+
+  Window fetches_;
+  std::array<double, 2> miss_share_;  // of attempts for keys to fetch, and for those held
+  std::array<Turned, 2> turned_;
+  double fetches_lost_ = 0;
+  Micros refused_at_ = -1;
+  double retry_tokens_, copy_tokens_;
+  double over_share_worth_;
+  Micros max_wait_;
+};
+
+}  // namespace robinseam::limits
--- /dev/null
+++ b/src/limits/window.cpp
@@ -0,0 +1,76 @@
+#include "window.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinseam::limits {
+namespace {
+
+// The floor follows the mean lately and not single latencies: where a third takes ten times as long
+// by itself, the shortest ones say nothing of queueing.
+constexpr double kFloorDown = 0.25;   // of the way to a lower mean, a sample
+constexpr double kFloorUp = 0.01;     // and to a higher one
+constexpr double kLatencyGain = 0.2;  // some ten samples
+constexpr Micros kRelaxAfter = 1'000'000;
+constexpr double kRelaxDoubles = 1e6;
+constexpr double kGoodEases = 0.5;  // of a signal, a good end takes back
+
+}  // namespace
+
+bool Window::has_room(double weight, double part) const {
+  double room = std::max(rules_.least * std::min(part, 1.0), limit_ * part);
+  // A whole attempt always fits into an empty window.
+  return out_ + weight <= std::max(room, weight);
+}
+
+void Window::ended(Micros now, Micros sent_at, double weight, Evidence evidence, double latency,
+                   double fine) {
+  out_ = std::max(0.0, out_ - weight);
+  if (evidence == Evidence::None || weight <= 0) return;
+  if (latency > 0) {
+    bool first = latency_ <= 0;
+    // Of a lost attempt the time it was out is a lower bound, no more.
+    if (evidence == Evidence::Good || latency > latency_)
+      latency_ += (first ? 1 : kLatencyGain) * (latency - latency_);
+  }
+  double most = std::max(fine, rules_.tolerance * floor_);
+  if (evidence == Evidence::Bad) return signal(now, sent_at, weight, most / std::max(1.0, latency));
+  if (floor_ <= 0) floor_ = latency;
+  floor_ += (latency_ < floor_ ? kFloorDown : kFloorUp) * (latency_ - floor_);
+  if (latency > most && latency_ > most) return signal(now, sent_at, weight, most / latency_);
+  signals_ = std::max(0.0, signals_ - kGoodEases * weight);
+  // Only a window that is used grows: one that isn't says nothing of what lies above it.
+  if (out_ + weight >= limit_ / 2)
+    limit_ = std::min(rules_.most, limit_ + weight * (limit_ < slow_start_ ? 1 : 1 / limit_));
+}
+
+/// Neither signalled nor filled for kRelaxAfter, the window doubles every second, back to where it
+/// began: few answers tell little, and none that a burst should be refused. One that is filled
+/// grows by its answers alone, or it would be filled to a jam over and over.
+void Window::relax(Micros now) {
+  if (out_ >= limit_ / 2) filled_at_ = now;
+  if (limit_ < rules_.start && now - std::max(signal_at_, filled_at_) > kRelaxAfter)
+    limit_ = std::min(rules_.start,
+                      limit_ * std::exp2(static_cast<double>(now - relaxed_at_) / kRelaxDoubles));
+  relaxed_at_ = std::max(relaxed_at_, now);
+}
+
+void Window::reset() {
+  double out = out_;
+  *this = Window(rules_);
+  out_ = out;
+}
+
+/// `gradient`: what was wanted of the latency over what it was.
+void Window::signal(Micros now, Micros sent_at, double severity, double gradient) {
+  signal_at_ = relaxed_at_ = now;
+  if (sent_at < cut_at_) return;  // sent under the window before: that has been cut for it
+  signals_ += severity;
+  if (signals_ < rules_.signals) return;
+  signals_ = 0;
+  cut_at_ = now;
+  limit_ = std::max(rules_.least, limit_ * std::clamp(gradient, rules_.deepest, rules_.cut));
+  slow_start_ = limit_;
+}
+
+}  // namespace robinseam::limits
--- /dev/null
+++ b/src/limits/window.hpp
@@ -0,0 +1,74 @@
+// A concurrency limit that is found from how attempts end: so many may be out at once.
+//
+// Shape: additive increase and multiplicative decrease on the window, as in Chiu and Jain, Computer
+// Networks 17 (1989), with one cut a round trip and slow start below the last good window (RFC
+// 5681, section 3.1). What counts as a congestion signal is a latency beyond `tolerance` times the
+// floor (TCP Vegas, SIGCOMM 1994; Netflix concurrency-limits' gradient), or a loss.
+//
+// A limit on what is out clocks itself: whatever clients do, no more than the limit is waited for,
+// and each answer makes room for the next. It never falls below `least`, so it can't hold back a
+// load that needs less than that at once, and recovery needs no sample to come by first.
+#pragma once
+
+#include "robinseam/balancer.hpp"
+
+namespace robinseam::limits {
+
+/// What the end of an attempt says of the load where it went.
+enum class Evidence {
+  None,  ///< nothing: broken, spoilt, given up by the client, a server's own fault
+  Good,  ///< served; its latency tells more
+  Bad,   ///< turned away as full, failed by overload, or out of time while out
+};
+
+struct WindowRules {
+  double least = 2;  ///< attempts that may always be out, at least 1
+  /// Before anything is known, and again some seconds after the last signal: a burst over idle
+  /// servers passes.
+  double start = 256;
+  double most = 4096;    ///< bound
+  double tolerance = 3;  ///< a latency above this multiple of the floor is a signal
+  double cut = 0.8;      ///< what a signal leaves of the window at most...
+  double deepest = 0.3;  ///< ...and at least, by how far the latency lies above the floor
+  double signals = 3;    ///< signals, less half of the good ends, that make a cut
+};
+
+class Window {
+ public:
+  explicit Window(const WindowRules& rules) : rules_(rules), limit_(rules.start) {}
+
+  /// Whether `weight` more may go out; `part` of the limit is open to this one, 0 to 1.
+  bool has_room(double weight, double part = 1) const;
+  void sent(Micros now, double weight) {
+    relax(now);
+    out_ += weight;
+  }
+  /// The attempt is out no more. `latency` counts with Good; it may be scaled by the request's
+  /// cost. `fine`: latencies up to this one are never a signal (0: none).
+  void ended(Micros now, Micros sent_at, double weight, Evidence evidence, double latency,
+             double fine);
+
+  /// Forgets what was learnt, as where another process has taken the place; what is out stays so.
+  void reset();
+
+  double limit() const { return limit_; }
+  double out() const { return out_; }
+  /// What latency is without queueing, as far as known; 0: not known.
+  double floor() const { return floor_; }
+  /// Mean of the latencies lately, those of lost attempts as lower bounds.
+  double latency() const { return latency_; }
+
+ private:
+  void signal(Micros now, Micros sent_at, double severity, double gradient);
+  void relax(Micros now);
+  WindowRules rules_;
+  double limit_;
+  double slow_start_ = 1e9;  // below it each good end adds one
+  double out_ = 0;
+  double floor_ = 0, latency_ = 0;
+  double signals_ = 0;
+  Micros signal_at_ = 0, filled_at_ = 0, relaxed_at_ = 0;
+  Micros cut_at_ = 0;  // what was sent before it has been answered for
+};
+
+}  // namespace robinseam::limits
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "limits/limits.hpp"
 #include "robinseam/balancer.hpp"
 
 namespace robinseam {
@@ -91,51 +92,13 @@
 // capacity.
 constexpr double kColdBorne = 0.5;
 constexpr double kBorneGain = 0.02;  // of one refresh in what warm servers bear, about 5 s
-// Attempts. Tokens per request for further attempts and for second copies, and their caps.
-constexpr double kRetryPerRequest = 0.03;
-constexpr double kRetryCap = 10;
-// Tokens for one more attempt: where the connection broke, the answer was spoilt or the server
-// alone is at fault, which has nothing to do with load and takes the place of an attempt that
-// served nothing; where the last one cost its server no work; and elsewhere. At the first price the
-// budget bears three of ten attempts that fail so. Should all servers break all connections, the
-// bound is max_attempts for a request until the tokens run out.
-constexpr double kPriceBroken = 0.1, kPriceUnseen = 0.25, kPriceFull = 1;
-constexpr double kCopyPerRequest = 0.03;
-constexpr double kCopyCap = 3;
+// Attempts.
 constexpr double kQuantile = 0.95;  // latency quantile that patience is built on
 constexpr double kPatienceFactor = 2.0;
 constexpr double kServerErrs = 0.9;  // doubt from which errors are laid at the server's door
 constexpr double kFutileErrors =
-    0.1;  // errors per attempt over the fleet past which none is retried
-// Admission: the shed level moves once per step by the part of answers that came too late or not at
-// all.
-constexpr Micros kShedStep = kSecond / 4;
-constexpr double kShedFade = 0.75;  // of the counts, per step
-constexpr double kShedPrior = 2;    // answers presumed good
-constexpr double kShedBad = 0.2;
-// The same while servers have cores to spare and few attempts end in errors: then some bad ends are
-// those of slow fetches and not of load, and refusing helps nobody. Held at the other figure, the
-// door for keys to fetch stayed shut over an idle fleet, as what it let in and was answered went
-// over to the other door.
-constexpr double kShedBadCalm = 0.5;
-constexpr double kCalmUtil = kBusyUtil;  // mean of the reports
-constexpr double kCalmErrors = 0.02;     // per attempt
-// Requests that ran out of time with an attempt out, per attempt: a jammed origin leaves cores
-// idle.
-constexpr double kCalmAbandoned = 0.05;
-constexpr double kCalmFull = 0.05;  // attempts turned away as full
-// Per step, were all bad. Misses are cut fast, or the origin's queue, longer than clients wait,
-// never drains; hits slowly, as swings leave servers idle.
-constexpr double kAdmitCut = 0.3;
-constexpr double kAdmitCutHeld = 0.1;
-constexpr int kWantedSeen = 3;       // a key seen this often lately is likely held
-constexpr double kAdmitGrow = 0.25;  // of what is admitted, per step, when nothing ends badly
-constexpr double kAdmitMin = 0.03;
-// What a refusal tells the client to wait where the door is open, so that the retry budget has
-// something to give again.
-constexpr Micros kComeBack = kShedStep / 5;
-constexpr double kShedLeast = 0.4;  // the most and least worthy are refused at these multiples
-constexpr double kShedMost = 1.4;
+    0.1;                        // errors per attempt over the fleet past which none is retried
+constexpr int kWantedSeen = 3;  // a key seen this often lately is likely held
 // List: how long after the start the first call may come, as part of ask_within, so that routers
 // started together do not call together; and the doubling pause after failed calls.
 constexpr double kAskSpread = 0.4;
@@ -202,6 +165,7 @@
     Micros report_at = 0;
     double cold_tokens = 0;
     Micros cold_at = 0;
+    limits::Window window{limits::kServerRules};  // attempts out, whatever they are
   };
   enum class Ran { Out, Maybe, Never };
   struct Attempt {
@@ -209,6 +173,8 @@
     Micros sent;
     Ran ran = Ran::Out;
     bool stalled = false;
+    double fetch = 0;      // as the limits count it
+    bool overdue = false;  // out when the request's time was over
   };
   struct Open {
     Request request;
@@ -220,8 +186,8 @@
     Micros came = 0;
     Micros deadline = 0;
     bool closed = false;
-    bool missed = false;   // aside mode: a cache held nothing
-    bool excused = false;  // an attempt failed in a way that says nothing of load
+    bool missed = false;  // aside mode: a cache held nothing
+    limits::Ask ask;
     std::vector<Attempt> attempts;
   };
   struct ClassState {
@@ -230,6 +196,8 @@
     double seen = 0;
   };
 
+  explicit Impl(const Settings& settings) : set(settings), lim(settings) {}
+
   Settings set;
   std::uint64_t rng;
   Micros now = 0;
@@ -264,15 +232,8 @@
   int total_in_flight = 0;
   // Failures per attempt over the whole fleet, lately.
   double errors = 0, late = 0, unreachable = 0, full = 0, spoilt = 0;
-  double abandoned = 0;
-  double retry_tokens = kRetryCap / 2, copy_tokens = kCopyCap / 2;
-  struct Door {
-    double shed = 0;
-    double good = 0, bad = 0;  // ends of what it let in
-  };
-  std::array<Door, 2> doors;  // for keys likely to be fetched, and for those held
-  double mean_value = 0;      // usual worth of a request, or per work where worth goes by request
-  Micros shed_at = 0;
+  limits::Limits lim;
+  double mean_value = 0;  // usual worth of a request, or per work where worth goes by request
   // renewed by refresh()
   Micros refreshed = -1;
   double live_sum = 1, weight_sum = 1, warm_sum = 1, near_pull = 0;
@@ -433,13 +394,8 @@
     o.held = it->second.held && !o.request.write;
   }
 
-  /// How an admitted request ended.
-  void note_end(const Open& o, bool answered, bool in_time) {
-    Door& d = doors[o.held];
-    // What a broken connection, a spoilt answer or a server at fault made late says nothing of
-    // load, nor of where the key is held.
-    if (!in_time && o.excused) return;
-    ++(in_time ? d.good : d.bad);
+  /// What an admitted request's end says of where its key is held.
+  void note_end(const Open& o, bool answered) {
     auto it = counts[0].find(o.name);
     if (it != counts[0].end()) it->second.held = answered && !o.request.write;
   }
@@ -481,6 +437,7 @@
   struct Landing {
     int server = -1;
     std::uint64_t seed = 0;
+    double fetch = 0;  // as the limits count it
   };
 
   /// Draws onward from `seed`, `left` times at most, to the next live segment; -1 when there is
@@ -498,7 +455,7 @@
   Landing walk(std::uint64_t seed, const Open& o, bool keep_near) {
     Landing fallback;
     int passed = 0;
-    double cost = cost_of(o);
+    double cost = cost_of(o), fetch = lim.fetch_weight(o.ask), part = lim.part(o.ask);
     for (int left = kMaxDraws, before = left;; before = left) {
       int i = next_live(seed, left);
       draws += static_cast<std::uint64_t>(before - std::max(left, 0));
@@ -507,12 +464,16 @@
       if (!may_send(o, i) || tried(o, i)) continue;
       if (keep_near && s.listed.zone != set.zone && depth_of(mix(seed)) < near_pull) continue;
       if (!cold_has_room(s, cost)) continue;
-      if (at_limit(s) && passed < kMaxOverflow) {
-        if (fallback.server < 0) fallback = {i, seed};
-        ++passed;
+      bool room = s.window.has_room(1, part);
+      if (!room || at_limit(s)) {
+        if (room && fallback.server < 0) fallback = {i, seed, fetch};
+        if (++passed > kMaxOverflow) return fallback;
+        // Elsewhere it is not held: where fetches are short, its home's refusal stands.
+        if (passed == 1) fetch = lim.spill_weight(o.ask);
+        if (!lim.has_room(fetch)) return fallback;
         continue;
       }
-      return {i, seed};
+      return {i, seed, fetch};
     }
   }
 
@@ -533,13 +494,15 @@
     return std::clamp(1 - excess(s) / (kOutlierFull - kOutlierFrom), 0.0, 1.0);
   }
 
-  void note_bad(ServerState& s, bool bad) {
+  void note_bad(ServerState& s, bool bad, double own = 1) {
     s.bad_share = bad_share(s);
     s.bad_at = now;
-    s.bad_share += kBadGain * (bad - s.bad_share);
+    double gain = kBadGain * (bad ? own : 1);
+    s.bad_share += gain * (bad - s.bad_share);
   }
 
-  void note_latency(ServerState& s, int cls, Micros latency, bool ok) {
+  /// `own`: how far the latency is the server's own and not the origin's, 0 to 1.
+  void note_latency(ServerState& s, int cls, Micros latency, bool ok, double own) {
     ClassState& c = classes[cls];
     double value = std::max<double>(1, static_cast<double>(latency));
     double log_value = std::log(value);
@@ -554,8 +517,8 @@
     }
     double age = halved(s.slow_at, kSlowHalf);
     s.slow_log *= age, s.slow_seen *= age;
-    s.slow_log += kSlowAlpha * (log_value - c.mean_log - s.slow_log);
-    s.slow_seen += 1;
+    s.slow_log += own * kSlowAlpha * (log_value - c.mean_log - s.slow_log);
+    s.slow_seen += own;
     s.slow_at = now;
   }
 
@@ -584,12 +547,16 @@
   /// An attempt is out far longer than usual.
   void note_stall(Attempt& a, double weight) {
     ServerState& s = servers[a.server];
-    if (!a.stalled && s.util < kBusyUtil) note_bad(s, true);
+    if (!a.stalled && s.util < kBusyUtil) note_bad(s, true, own_part(a));
     a.stalled = true;
     if (!outlier(s)) follow(late, true);
-    note_failure(s, weight, late);
+    note_failure(s, weight * own_part(a), late);
   }
 
+  /// How far the loss of an attempt is laid at its server's door: where fetches are lost at all
+  /// servers, one more says little of this one.
+  double own_part(const Attempt& a) const { return 1 - a.fetch * lim.fetches_lost(); }
+
   /// The part of its keys a server gives up for having been full. It returns with each success: by
   /// time alone, a busy server that turned away one in twenty gave up nearly all. And with time,
   /// for one that is seldom asked.
@@ -650,58 +617,27 @@
     return std::clamp(static_cast<double>(*o.request.work) / mean_work, 0.2, 5.0);
   }
 
-  /// The admitted part shrinks a little while many admitted requests end unserved or late, and
-  /// grows back otherwise, also without evidence: a level that waited for answers stayed up when
-  /// few were left, and one that moved in large steps swung between refusing nearly all and jamming
-  /// the servers.
-  ///
-  /// Keys that were answered lately have a door of their own: a jammed origin makes the others end
-  /// badly and leaves these alone, overloaded servers make both.
-  void step_shed() {
-    if (now - shed_at < kShedStep) return;
-    bool calm = util_mean > 0 && util_mean < kCalmUtil && errors < kCalmErrors &&
-                abandoned < kCalmAbandoned && full < kCalmFull;
-    double limit = calm ? kShedBadCalm : kShedBad;
-    for (bool held : {false, true}) {
-      Door& d = doors[held];
-      double cut = held ? kAdmitCutHeld : kAdmitCut;
-      double bad = d.bad / (d.good + d.bad + kShedPrior);
-      double admitted =
-          (1 - d.shed) * (bad > limit ? 1 - cut * bad : 1 + kAdmitGrow * (1 - bad / limit));
-      d.shed = 1 - std::clamp(admitted, kAdmitMin, 1.0);
-      d.good *= kShedFade, d.bad *= kShedFade;
-    }
-    shed_at = now;
-  }
-
-  bool shedding() const { return doors[0].shed > 0 || doors[1].shed > 0; }
-
   /// Whether the request is turned away at the door.
-  bool turn_away(const Open& o) {
-    step_shed();
+  bool turn_away(Open& o) {
     const ClassSettings& c = set.classes[o.cls];
-    double shed = doors[o.held].shed;
-    double chance = shed;
-    // Around the mean worth of what comes, so that all together lose the shed part and no more:
-    // taken from the best class, the bulk of the traffic was refused whole while servers stood
-    // idle.
     double value = c.worth / (set.worth_by_work ? 1 : cost_of(o));
     mean_value += (mean_value <= 0 ? 1 : 0.02) * (value - mean_value);
-    if (value > 0) chance *= std::clamp(mean_value / value, kShedLeast, kShedMost);
-    chance = std::min(chance, 1 - kAdmitMin / 2);
+    double over = 0;
     for (std::size_t t = 0; t < set.tenants.size(); ++t) {
       if (set.tenants[t].name != o.request.tenant || set.tenants[t].quota_per_s <= 0) continue;
       double quota = set.tenants[t].quota_per_s / std::max(1, set.routers);
-      double own = tenant_rate[t] / kRateSpan;
-      if (own > quota) chance += std::min(1.0, 4 * shed) * (1 - quota / own);
+      over = std::max(0.0, 1 - quota * kRateSpan / std::max(1e-9, tenant_rate[t] * rate_fade()));
     }
-    if (shed <= 0) return false;
-    if (o.request.key.empty()) return random() < chance;
-    // By key, alike at every router: what is let in stays cached and is answered by hits, so a
-    // fleet whose copies went void and whose origin is jammed fills again key by key, the wanted
-    // ones first. Refusing at random, every key's misses went on and the origin never caught up.
-    if (o.seen >= kWantedSeen) chance *= chance;
-    return depth_of(mix(~o.name)) < chance;
+    o.ask = {.who = mix(o.name ^ hash_name(o.request.tenant)),
+             .held = o.held,
+             .wanted = o.seen >= kWantedSeen,
+             .write = o.request.write,
+             .repeat = o.request.repeat,
+             .value = mean_value > 0 ? value / mean_value : 1,
+             .over_share = over,
+             .remaining = o.request.remaining,
+             .aim = c.aim};
+    return !lim.admits(now, o.ask);
   }
 
   void fade_rates() {
@@ -718,8 +654,7 @@
       double work = static_cast<double>(*o.request.work);
       mean_work += (mean_work <= 0 ? 1 : 0.02) * (work - mean_work);
     }
-    retry_tokens = std::min(kRetryCap, retry_tokens + kRetryPerRequest);
-    copy_tokens = std::min(kCopyCap, copy_tokens + kCopyPerRequest);
+    lim.earn();
   }
 
   // ---- attempts ----
@@ -765,26 +700,26 @@
     return effect_of(o) == Effect::Keyed && c.group == Group::All;
   }
 
-  void timer(Micros after, RequestId id, TimerKind kind) {
-    out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
+  /// What an attempt's end says of load.
+  limits::Evidence evidence(const Attempt& a, Status status) const {
+    if (status == Status::Ok) return limits::Evidence::Good;
+    bool lost = status == Status::Error || status == Status::Timeout ||
+                (status == Status::Cancelled && a.overdue);
+    return lost ? limits::Evidence::Bad : limits::Evidence::None;
   }
 
-  /// How long a client is told to stay away: as long as the door takes to open where nothing more
-  /// ends badly, spread over half of that, or those refused together would come back together.
-  /// Tills that ask at once meet the same door: a refusal goes by the key.
-  Micros come_back(const Open& o) const {
-    double steps = -std::log(1 - doors[o.held].shed) / std::log(1 + kAdmitGrow);
-    double wait = static_cast<double>(kComeBack) + steps * static_cast<double>(kShedStep);
-    wait = std::min(wait, static_cast<double>(set.max_retry_after));
-    return static_cast<Micros>(wait * (1 - 0.5 * depth_of(mix(o.request.id))));
+  void timer(Micros after, RequestId id, TimerKind kind) {
+    out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
   }
 
   void finish(Open& o) {
     if (o.closed) return;
     o.closed = true;
-    if (!o.attempts.empty()) ++given_up, note_end(o, false, false);
+    if (!o.attempts.empty()) ++given_up;
+    // What never ran says nothing of where its key is.
+    if (may_have_run(o)) note_end(o, false);
     if (may_refuse(o))
-      out.push_back(Refuse{o.request.id, come_back(o)});
+      out.push_back(Refuse{o.request.id, lim.come_back(now, depth_of(mix(o.request.id)))});
     else
       out.push_back(Fail{o.request.id});
     cancel_rest(o);
@@ -824,7 +759,7 @@
           (best < 0 || servers[i].in_flight < servers[best].in_flight))
         best = i;
     if (best < 0) return false;
-    dispatch(o, best);
+    dispatch(o, best, 0);
     return true;
   }
 
@@ -848,13 +783,16 @@
       if (key->drawn++ == 0) key->home = at.server;
       key->seed = at.seed;
     }
-    dispatch(o, at.server);
+    dispatch(o, at.server, at.fetch);
     return true;
   }
 
-  void dispatch(Open& o, int server) {
+  void dispatch(Open& o, int server, double fetch) {
     ServerState& s = servers[server];
     o.attempts.push_back({server, now});
+    o.attempts.back().fetch = fetch;
+    s.window.sent(now, 1);
+    lim.sent(now, o.attempts.back().fetch);
     ++s.in_flight, ++s.kept, ++total_in_flight;
     fade_rates();
     rate_sum += cost_of(o);
@@ -878,10 +816,12 @@
     bool broken = why == Status::ConnectFailed || why == Status::Reset || why == Status::Spoilt;
     const ServerState& last = servers[o.attempts.back().server];
     broken |= outlier(last);  // the fault is that server's alone
-    double price = broken ? kPriceBroken : why == Status::Full ? kPriceUnseen : kPriceFull;
+    limits::Cause cause = broken                ? limits::Cause::Broken
+                          : why == Status::Full ? limits::Cause::Unseen
+                                                : limits::Cause::Load;
     bool time_left = o.deadline - now > 2 * set.tick;
     if (why == Status::Miss && is_origin(last)) return finish(o);  // nobody else has it either
-    if (why == Status::Miss && time_left && send(o)) return;  // no failure: no tokens
+    if (why == Status::Miss && time_left && send(o)) return;       // no failure: no tokens
     // A fetch that failed ends in an error, and another server would only ask the origin once more:
     // what jams it. Errors are worth a retry where they come from one server and not from others.
     bool futile =
@@ -889,11 +829,8 @@
     // Nor anything while requests are refused: a retry would take the place of a first try. Broken
     // connections, spoilt answers and servers at fault are no sign of load, and their share is
     // bounded by the tokens.
-    futile |= !broken && shedding();
-    if (!futile && time_left && retry_tokens >= price) {
-      retry_tokens -= price;
-      if (send(o)) return;
-    }
+    futile |= !broken && (lim.pressed(now) || !lim.has_room(lim.fetch_weight(o.ask)));
+    if (!futile && time_left && lim.spend(cause) && send(o)) return;
     finish(o);
   }
 
@@ -928,6 +865,7 @@
       s.doubt = 0, s.strikes = 0, s.dead_until = 0, s.returned_at = 0;
       s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0, s.bad_share = 0;
       s.cold_tokens = random(), s.cold_at = now;
+      s.window.reset();
     }
   }
 
@@ -984,12 +922,11 @@
 };
 
 Balancer::Balancer(const Settings& settings, std::uint64_t seed, Micros now)
-    : impl_(std::make_unique<Impl>()) {
+    : impl_(std::make_unique<Impl>(settings)) {
   Impl& m = *impl_;
-  m.set = settings;
   m.check_settings();
   m.rng = mix(seed);
-  m.now = m.born = m.rate_at = m.shed_at = m.generation_at = now;
+  m.now = m.born = m.rate_at = m.generation_at = now;
   m.classes.resize(settings.classes.size());
   m.tenant_rate.resize(settings.tenants.size());
 }
@@ -1088,16 +1025,22 @@
   else if (r.status == Status::Timeout)
     m.note_stall(a, 1);
   else if (r.status != Status::Cancelled && r.status != Status::Moot && !a.stalled)
-    m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss);
-  bool broke =
-      r.status == Status::ConnectFailed || r.status == Status::Reset || r.status == Status::Spoilt;
-  if (r.status != Status::Ok) o.excused |= broke || m.outlier(s);
+    m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss, m.own_part(a));
+  limits::Evidence load = m.evidence(a, r.status);
+  m.lim.ended(m.now, a.sent, a.fetch, load, m.outlier(s) || s.doubt >= kServerErrs, r.latency,
+              r.note, o.ask);
+  // The origin's part of a fetch says nothing of the server's own queue.
+  if (r.status == Status::Full && s.util >= kBusyUtil)
+    load = limits::Evidence::Bad;
+  else if (load == limits::Evidence::Bad || r.note > 1 || o.request.write)
+    load = limits::Evidence::None;
+  s.window.ended(m.now, a.sent, 1, load, static_cast<double>(r.latency) / m.cost_of(o),
+                 static_cast<double>(m.set.classes[o.cls].aim) / 2);
   // An outlier's failures tell nothing of the fleet.
   if (r.status == Status::Ok || !m.outlier(s)) {
     follow(m.errors, r.status == Status::Error);
     if (r.status == Status::Ok) follow(m.late, false);
     follow(m.full, r.status == Status::Full);
-    if (r.status != Status::Cancelled) follow(m.abandoned, false);
     follow(m.spoilt, r.status == Status::Spoilt);
     follow(m.unreachable, r.status == Status::ConnectFailed || r.status == Status::Reset);
   }
@@ -1105,14 +1048,14 @@
     case Status::Ok:
       m.note_success(s);
       s.crowded *= 1 - kFullEases;
-      if (!m.is_origin(s)) m.note_latency(s, o.cls, r.latency, true);
+      if (!m.is_origin(s)) m.note_latency(s, o.cls, r.latency, true, r.note <= 1);
       break;
     case Status::Miss:
       m.note_success(s);
       o.missed = true;
       break;
     case Status::Timeout:
-      m.note_latency(s, o.cls, r.latency, false);
+      m.note_latency(s, o.cls, r.latency, false, m.own_part(a));
       break;
     case Status::Error:
       m.note_failure(s, 0.5, m.errors);
@@ -1129,10 +1072,7 @@
     case Status::Moot:
       break;
   }
-  if (!o.closed) {
-    bool late = m.now - o.came > m.set.classes[o.cls].aim;
-    if (r.status == Status::Ok) m.note_end(o, true, !late);
-  }
+  if (!o.closed && r.status == Status::Ok) m.note_end(o, true);
   if (r.finished) {
     if (!o.closed) m.cancel_rest(o);
     o.closed = true;
@@ -1169,21 +1109,17 @@
   if (it == m.open.end() || it->second.closed) return {};
   Impl::Open& o = it->second;
   if (kind == kDeadlineTimer) {
-    bool load = m.any_out(o);
     for (Impl::Attempt& a : o.attempts) {
       if (a.ran != Impl::Ran::Out) continue;
+      a.overdue = true;
       if (m.now - a.sent > m.patience(o)) m.note_stall(a, 1);
-      if (m.outlier(m.servers[a.server])) load = false, o.excused = true;
     }
-    if (load) follow(m.abandoned, true);
     m.finish(o);
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
              m.now - o.attempts.back().sent >= m.patience(o) / 2) {
     m.note_stall(o.attempts.back(), 0.5);
-    if (m.copy_tokens >= 1 && !m.shedding()) {
-      m.copy_tokens -= 1;
+    if (!m.lim.pressed(m.now) && m.lim.has_room(m.lim.fetch_weight(o.ask)) && m.lim.spend_copy())
       m.send(o);
-    }
   }
   m.forget_if_done(id);
   return std::move(m.out);
@@ -1208,7 +1144,8 @@
   s.servers = m.index.size();
   s.draws = m.draws;
   s.turned_away = m.turned_away, s.unsendable = m.unsendable, s.given_up = m.given_up;
-  s.shed_fetched = m.doors[0].shed, s.shed_held = m.doors[1].shed;
+  s.shed_fetched = m.lim.refused(m.now, false), s.shed_held = m.lim.refused(m.now, true);
+  s.fetch_limit = m.lim.fetches().limit(), s.fetches_out = m.lim.fetches().out();
   s.late = m.late, s.errors = m.errors, s.full = m.full, s.unreachable = m.unreachable;
   s.spoilt = m.spoilt;
   s.utilization = m.util_mean;
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -3,7 +3,7 @@
 # Without root it names what is missing and stops with status 1.
 set -eu
 packages="g++ cmake make pkg-config libevent-dev nlohmann-json3-dev libcli11-dev libgtest-dev
-  libbenchmark-dev libmemcached-dev libnghttp2-dev
+  libbenchmark-dev libmemcached-dev libnghttp2-dev libboost-dev
   libprotobuf-dev protobuf-compiler"
 missing=""
 for package in $packages; do
