--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -181,6 +181,7 @@
       "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu servers %zu worst "
       "%s %lu | "
       "hits %lu misses %lu turned away %lu unsendable %lu given up %lu shed fetched %.2f held %.2f "
+      "fetches %.1f of %.1f "
       "late %.2f "
       "errors %.2f full %.2f unreachable %.2f spoilt %.2f utilization %.2f live %.1f seeds %zu "
       "keys %zu\n",
@@ -190,8 +191,8 @@
       s.failed_dials, s.no_connection, s.pipelined, s.ended_idle, s.ended_busy, s.garbage,
       s.closed_idle, s.gave_up, s.late_answers, s.made_room, r->servers_.servers(),
       worst.first.c_str(), worst.second, c.hits, c.misses, m.turned_away, m.unsendable, m.given_up,
-      m.shed_fetched, m.shed_held, m.late, m.errors, m.full, m.unreachable, m.spoilt, m.utilization,
-      m.live, m.saved_seeds, m.tracked_keys);
+      m.shed_fetched, m.shed_held, m.fetches_out, m.fetch_limit, m.late, m.errors, m.full,
+      m.unreachable, m.spoilt, m.utilization, m.live, m.saved_seeds, m.tracked_keys);
 }
 
 // ---- discovery ----
@@ -245,6 +246,8 @@
   add("servers_live", m.live);
   add("shed_fetched", m.shed_fetched);
   add("shed_held", m.shed_held);
+  add("fetch_limit", m.fetch_limit);
+  add("fetches_out", m.fetches_out);
   return all;
 }
 
