Rare errors are tried again; abandoned calls of the external processor shut nothing

While errors are rare and fetches not short a further attempt costs little. Test of 400 calls abandoned without a report.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -822,9 +822,10 @@
     if (why == Status::Miss && is_origin(last)) return finish(o);  // nobody else has it either
     if (why == Status::Miss && time_left && send(o)) return;       // no failure: no tokens
     // A fetch that failed ends in an error, and another server would only ask the origin once more:
-    // what jams it. Errors are worth a retry where they come from one server and not from others.
+    // what jams it. While errors are rare a further attempt costs little and may well serve: one
+    // error in three attempts is no reason to refuse. Where fetches are short it is.
     bool futile =
-        why == Status::Error && !broken && (errors > kFutileErrors || last.doubt < kServerErrs);
+        why == Status::Error && !broken && (errors > kFutileErrors || !lim.may_spill(o.ask));
     // Nor anything while requests are refused: a retry would take the place of a first try. Broken
     // connections, spoilt answers and servers at fault are no sign of load, and their share is
     // bounded by the tokens.
--- a/tests/extproc/processor_test.cpp
+++ b/tests/extproc/processor_test.cpp
@@ -291,5 +291,30 @@
   EXPECT_EQ(processor_->kept(), 0u);
 }
 
+// Protects against: what a caller does laid at the servers' door. One that takes choices and goes
+// away without a report says nothing of any server, so all others are served as before.
+TEST_F(ProcessorTest, CallsAbandonedWithoutAReportShutNothing) {
+  settings_.second_copies = true;
+  start(4, 1000);
+  for (int k = 0; k < 400; ++k) {
+    StreamId s = ask("gone" + std::to_string(k), {}, "key" + std::to_string(k));
+    pass(20 * kMillisecond);
+    processor_->on_gone(s);
+    core_->turn();
+  }
+  const auto& ends = core_->counts().outcomes;
+  EXPECT_EQ(ends[static_cast<std::size_t>(Status::Timeout)], 0u);
+  EXPECT_EQ(ends[static_cast<std::size_t>(Status::Reset)], 400u);
+  int refused = 0;
+  for (int k = 0; k < 500; ++k) {
+    StreamId s = ask("good" + std::to_string(k), {}, "other" + std::to_string(k));
+    refused += endpoint(s).empty();
+    if (!endpoint(s).empty()) report(s, {{":status", "200"}});
+    processor_->on_half_close(s);
+    pass(10 * kMillisecond);
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 }  // namespace
 }  // namespace arrowfork::extproc
