--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -304,6 +304,12 @@
     return;
   }
   Exchange& e = *it->second;
+  // The caller carries one attempt at a time: a second copy is never sent. Put in the first one's
+  // place it took that one's report, and the first ran into a time-out that no server had caused.
+  if (e.attempt >= 0) {
+    core_.attempt_ended(id, attempt, Status::Moot, {});
+    return;
+  }
   e.attempt = attempt;
   e.told = false;
   e.address = std::move(address);
--- a/tests/extproc/processor_test.cpp
+++ b/tests/extproc/processor_test.cpp
@@ -296,12 +296,19 @@
 TEST_F(ProcessorTest, CallsAbandonedWithoutAReportShutNothing) {
   settings_.second_copies = true;
   start(4, 1000);
+  for (int k = 0; k < 50; ++k) {  // servers known to be so quick that a copy is due in a moment
+    StreamId s = ask("quick" + std::to_string(k), {}, "key" + std::to_string(k));
+    pass(kMillisecond);
+    report(s, {{":status", "200"}});
+    processor_->on_half_close(s);
+  }
   for (int k = 0; k < 400; ++k) {
     StreamId s = ask("gone" + std::to_string(k), {}, "key" + std::to_string(k));
     pass(20 * kMillisecond);
     processor_->on_gone(s);
     core_->turn();
   }
+  pass(2 * kSecond);
   const auto& ends = core_->counts().outcomes;
   EXPECT_EQ(ends[static_cast<std::size_t>(Status::Timeout)], 0u);
   EXPECT_EQ(ends[static_cast<std::size_t>(Status::Reset)], 400u);
