--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -18,7 +18,9 @@
 // the tokens run out.
 constexpr std::array<double, 3> kPrice{0.1, 0.25, 1};
 // Fetches. The origin is shared by all routers and answers a fetch, so few at once reach far.
-constexpr WindowRules kFetchRules{};
+// A dozen routers with two each were more than some origins bear, and a cut of a fifth too slow for
+// as many to agree on less.
+constexpr WindowRules kFetchRules{.least = 1, .cut = 0.5, .signals = 2};
 constexpr double kMissGain = 0.05;    // of one answer in the shares of misses
 constexpr double kMissUntold = 0.02;  // of one that was never answered
 constexpr double kHeldMisses = 0.05;  // presumed
@@ -85,8 +87,9 @@
   if (evidence != Evidence::None)
     fetches_lost_ += kLostGain * weight * ((evidence == Evidence::Bad) - fetches_lost_);
   if (evidence == Evidence::Bad && at_fault) evidence = Evidence::None;
+  // The servers' own queues are part of a fetch's latency, so not each above the aim is a signal.
   fetches_.ended(now, sent_at, weight, evidence, static_cast<double>(latency),
-                 static_cast<double>(ask.aim));
+                 2 * static_cast<double>(ask.aim));
 }
 
 void Limits::earn() {
