--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -45,7 +45,6 @@
       miss_share_{1, kHeldMisses},
       retry_tokens_(kRetryCap / 2),
       copy_tokens_(kCopyCap / 2),
-      over_share_worth_(settings.over_share_worth),
       max_wait_(settings.max_retry_after) {}
 
 double Limits::fetch_weight(const Ask& ask) const {
--- a/src/limits/limits.hpp
+++ b/src/limits/limits.hpp
@@ -16,8 +16,7 @@
   bool held = false;    ///< some server likely holds the key
   bool wanted = false;  ///< the key came often lately
   bool write = false;
-  bool repeat = false;  ///< marked as one by the client
-  double value = 1;     ///< worth (for its work) as a part of what is usual
+  double value = 1;  ///< worth (for its work) as a part of what is usual
   double over_share =
       0;                 ///< part of its banner's traffic that is beyond the banner's share, 0 to 1
   Micros remaining = 0;  ///< until the client gives it up
@@ -88,7 +87,6 @@
   double fetches_lost_ = 0;
   Micros refused_at_ = -1;
   double retry_tokens_, copy_tokens_;
-  double over_share_worth_;
   Micros max_wait_;
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -631,7 +631,6 @@
     o.ask = {.held = o.held,
              .wanted = o.seen >= kWantedSeen,
              .write = o.request.write,
-             .repeat = o.request.repeat,
              .value = mean_value > 0 ? value / mean_value : 1,
              .over_share = over,
              .remaining = o.request.remaining,
--- a/tests/limits/day_test.cpp
+++ b/tests/limits/day_test.cpp
@@ -1,5 +1,5 @@
 // Bad days on the model fleet, with tills that ask again at once, up to five times, whatever the
-// refusal says. Each of these fails with the shed levels that the windows replaced.
+// refusal says.
 #include "emu/day.hpp"
 
 #include <gtest/gtest.h>
