Operators' control address: bans, drain, figures; a new process takes connections over

A second address (control, NODE_CONTROL) answers ready, metrics, cache servers out and back, drain and resume. Bans lie over discovery's list as leaving and are kept in a file that both processes of an upgrade read. A new process gets the listening socket and each client connection between requests over a unix socket, so nobody is refused, reset or unread. Attempts written whole, ends by class and open requests are counted. Ruled out for the upgrade: SO_REUSEPORT alone, since a closing listener resets what waits in its backlog.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -21,6 +21,7 @@
   try {
     served.router.reload(served.load());
   } catch (const std::exception& e) {
+    served.router.note_failed_reload();
     complain(std::string("reload: old configuration kept: ") + e.what());
   }
 }
--- /dev/null
+++ b/src/control/handover.cpp
@@ -0,0 +1,208 @@
+#include "handover.hpp"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstdio>
+#include <cstring>
+#include <vector>
+
+namespace arrowfork {
+namespace {
+
+// In every hello, so that processes of other forms refuse one another and fall back to listening
+// side by side.
+constexpr char kHello[] = "H1";
+constexpr char kListener = 'L', kTake = 'T', kClient = 'C', kHeld = 'U';
+constexpr int kAnswerMs = 1000;
+// A list beyond this is not handed over; the successor asks discovery.
+constexpr std::size_t kMostMessage = 128u << 10;
+
+Fd unix_socket(const std::string& path, sockaddr_un& address) {
+  address = {};
+  address.sun_family = AF_UNIX;
+  if (path.empty() || path.size() >= sizeof address.sun_path) return Fd();
+  std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
+  return Fd(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+}
+
+/// Sends one message, with a descriptor where `fd` is one.
+bool send_message(int to, const std::string& text, int fd = -1) {
+  iovec part{const_cast<char*>(text.data()), text.size()};
+  msghdr m{};
+  m.msg_iov = &part;
+  m.msg_iovlen = 1;
+  alignas(cmsghdr) char room[CMSG_SPACE(sizeof(int))] = {};
+  if (fd >= 0) {
+    m.msg_control = room;
+    m.msg_controllen = sizeof room;
+    cmsghdr* c = CMSG_FIRSTHDR(&m);
+    c->cmsg_level = SOL_SOCKET;
+    c->cmsg_type = SCM_RIGHTS;
+    c->cmsg_len = CMSG_LEN(sizeof(int));
+    std::memcpy(CMSG_DATA(c), &fd, sizeof fd);
+  }
+  ssize_t put;
+  while ((put = ::sendmsg(to, &m, MSG_NOSIGNAL)) < 0 && errno == EINTR) {
+  }
+  return put >= 0;
+}
+
+enum class Received { Message, Nothing, End };
+Received receive(int from, std::string& text, Fd& fd) {
+  text.resize(kMostMessage);
+  iovec part{text.data(), text.size()};
+  msghdr m{};
+  m.msg_iov = &part;
+  m.msg_iovlen = 1;
+  alignas(cmsghdr) char room[CMSG_SPACE(sizeof(int))] = {};
+  m.msg_control = room;
+  m.msg_controllen = sizeof room;
+  ssize_t got = ::recvmsg(from, &m, MSG_CMSG_CLOEXEC);
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+    return Received::Nothing;
+  for (cmsghdr* c = CMSG_FIRSTHDR(&m); got >= 0 && c; c = CMSG_NXTHDR(&m, c))
+    if (c->cmsg_level == SOL_SOCKET && c->cmsg_type == SCM_RIGHTS) {
+      int one = -1;
+      std::memcpy(&one, CMSG_DATA(c), sizeof one);
+      fd.reset(one);
+    }
+  if (got <= 0) return Received::End;
+  text.resize(static_cast<std::size_t>(got));
+  return Received::Message;
+}
+
+}  // namespace
+
+Handover::Handover(event_base* base, std::string path, Handler& handler)
+    : base_(base), path_(std::move(path)), handler_(handler) {}
+
+Handover::~Handover() {
+  if (bound_) ::unlink(path_.c_str());
+}
+
+Handover::Taken Handover::seek() {
+  Taken taken;
+  sockaddr_un address;
+  Fd fd = unix_socket(path_, address);
+  if (!fd || ::connect(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+      !send_message(fd.get(), kHello))
+    return taken;
+  pollfd wait{fd.get(), POLLIN, 0};
+  std::string text;
+  if (::poll(&wait, 1, kAnswerMs) != 1 ||
+      receive(fd.get(), text, taken.listener) != Received::Message || text[0] != kListener ||
+      !taken.listener) {
+    taken.listener.reset();
+    return taken;
+  }
+  taken.list = text.substr(1);
+  predecessor_ = std::move(fd);
+  predecessor_event_.reset(
+      event_new(base_, predecessor_.get(), EV_READ | EV_PERSIST, on_predecessor_event, this));
+  event_add(predecessor_event_.get(), nullptr);
+  return taken;
+}
+
+void Handover::serve() {
+  if (!predecessor_) bind();
+}
+
+void Handover::bind() {
+  sockaddr_un address;
+  Fd fd = unix_socket(path_, address);
+  if (!fd) {
+    if (!path_.empty())
+      std::fprintf(stderr, "arrowfork: no handover to a new version: %s: path too long\n",
+                   path_.c_str());
+    return;
+  }
+  ::unlink(path_.c_str());  // of a process that was killed
+  if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+      ::listen(fd.get(), 1) != 0) {
+    std::fprintf(stderr, "arrowfork: no handover to a new version: %s: %s\n", path_.c_str(),
+                 std::strerror(errno));
+    return;
+  }
+  bound_ = true;
+  waiting_ = std::move(fd);
+  accept_event_.reset(event_new(base_, waiting_.get(), EV_READ | EV_PERSIST, on_accept, this));
+  event_add(accept_event_.get(), nullptr);
+}
+
+void Handover::on_accept(evutil_socket_t, short, void* self) {
+  auto* h = static_cast<Handover*>(self);
+  Fd fd(::accept4(h->waiting_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (!fd || h->successor_) return;  // one at a time: a third process listens for itself
+  h->successor_ = std::move(fd);
+  h->successor_event_.reset(event_new(h->base_, h->successor_.get(), EV_READ | EV_PERSIST,
+                                      on_successor_event, self));
+  event_add(h->successor_event_.get(), nullptr);
+}
+
+void Handover::on_successor_event(evutil_socket_t, short, void* self) {
+  auto* h = static_cast<Handover*>(self);
+  std::string text;
+  Fd none;
+  Received got = receive(h->successor_.get(), text, none);
+  if (got == Received::Nothing) return;
+  if (got == Received::Message && text == kHello) {
+    std::string list = h->handler_.list();
+    int listener = h->handler_.listener();
+    if (1 + list.size() > kMostMessage) list.clear();
+    if (listener >= 0 && send_message(h->successor_.get(), kListener + list, listener)) return;
+  } else if (got == Received::Message && text[0] == kTake) {
+    if (!std::exchange(h->taken_, true)) h->handler_.on_successor();
+    return;
+  }
+  h->lose_successor();
+}
+
+void Handover::lose_successor() {
+  successor_event_.reset();
+  successor_.reset();
+  if (std::exchange(taken_, false)) handler_.on_successor_lost();
+}
+
+void Handover::take() {
+  if (predecessor_) send_message(predecessor_.get(), std::string(1, kTake));
+}
+
+void Handover::on_predecessor_event(evutil_socket_t, short, void* self) {
+  auto* h = static_cast<Handover*>(self);
+  while (true) {
+    std::string text;
+    Fd fd;
+    Received got = receive(h->predecessor_.get(), text, fd);
+    if (got == Received::Nothing) return;
+    if (got == Received::End) {
+      h->predecessor_event_.reset();
+      h->predecessor_.reset();
+      h->bind();
+      h->handler_.on_predecessor_gone();
+      return;
+    }
+    if (text[0] == kClient && fd) h->handler_.on_client(std::move(fd));
+    std::size_t held = 0;
+    if (text[0] == kHeld &&
+        std::from_chars(text.data() + 1, text.data() + text.size(), held).ec == std::errc())
+      h->handler_.on_predecessor_holds(held);
+  }
+}
+
+Handover::Given Handover::give(int client) {
+  if (!has_successor()) return Given::No;
+  if (send_message(successor_.get(), std::string(1, kClient), client)) return Given::Yes;
+  // A full buffer, or as many descriptors on their way as one user may have.
+  return errno == EAGAIN || errno == EWOULDBLOCK || errno == ETOOMANYREFS ? Given::Later
+                                                                          : Given::No;
+}
+
+void Handover::tell_held(std::size_t descriptors) {
+  if (has_successor()) send_message(successor_.get(), kHeld + std::to_string(descriptors));
+}
+
+}  // namespace arrowfork
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -35,7 +35,9 @@
       balancer_(settings, seed, clock.now()),
       id_seed_(mixed(seed)),
       max_open_(max_open),
-      max_ids_(max_ids) {}
+      max_ids_(max_ids) {
+  counts_.ends.resize(classes_.size());
+}
 
 void Core::start(std::vector<robinseam::Server> known) {
   Micros now = clock_.now();
@@ -50,8 +52,12 @@
   if (!type || (type->effect == robinseam::Effect::Keyed && !request.write)) return Taken::BadClass;
   bool own_id = request.id.empty();  // never twice the same, so that none need be remembered
   if (!own_id && id_taken(request.id)) return Taken::IdInUse;
-  if (open_.size() >= max_open_ || (!own_id && ids_[0].size() >= max_ids_)) return Taken::Busy;
+  if (open_.size() >= max_open_ || (!own_id && ids_[0].size() >= max_ids_)) {
+    note_refused(request.type);
+    return Taken::Busy;
+  }
   ++counts_.requests;
+  ++unanswered_;
   if (own_id)
     request.id = make_id();
   else
@@ -101,6 +107,15 @@
   return nullptr;
 }
 
+Core::Counts::Ends* Core::ends_of(const std::string& type) {
+  const robinseam::ClassSettings* c = class_of(type);
+  return c ? &counts_.ends[static_cast<std::size_t>(c - classes_.data())] : nullptr;
+}
+
+void Core::note_refused(const std::string& type) {
+  if (Counts::Ends* ends = ends_of(type)) ++ends->refused;
+}
+
 void Core::left(RequestId id) {
   auto it = open_.find(id);
   if (it == open_.end() || it->second.left) return;
@@ -113,6 +128,7 @@
   if (it == open_.end()) return;
   Open& open = it->second;
   ++counts_.gone;
+  unanswered_ -= !open.answered;
   open.sink = nullptr;
   open.answered = true;
   events_.push_back(GoneEvent{id});  // also where it has left before: settle() forgets it then
@@ -120,6 +136,11 @@
 
 void Core::give_reply(Open& open, Reply&& reply) {
   counts_.failed += reply.kind == Reply::Kind::Failed;
+  unanswered_ -= !open.answered;
+  if (Counts::Ends* ends = ends_of(open.request.type))
+    ++(reply.kind == Reply::Kind::Served    ? ends->served
+       : reply.kind == Reply::Kind::Refused ? ends->refused
+                                            : ends->failed);
   reply.missed = reply.kind != Reply::Kind::Served && open.missed;
   open.answered = true;
   if (ReplySink* sink = std::exchange(open.sink, nullptr))
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -99,9 +99,21 @@
   const robinseam::ClassSettings* class_of(const std::string& name) const;
   Micros longest_deadline() const { return longest_deadline_; }
   std::size_t open_requests() const { return open_.size(); }
+  /// Requests that have not got their reply yet.
+  std::size_t unanswered() const { return unanswered_; }
+  /// Counts a request that a front has refused by itself.
+  void note_refused(const std::string& type);
+  /// The part of its slots that a listed server is live over now, 0 to 1.
+  double live_fraction(const std::string& server) const { return balancer_.live_fraction(server); }
+  const std::vector<robinseam::ClassSettings>& classes() const { return classes_; }
   struct Counts {
     std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0, hits = 0, misses = 0;
     std::array<std::uint64_t, 10> outcomes{};  ///< by Status
+    /// By class, in the settings' order; a request whose client has left is under none.
+    struct Ends {
+      std::uint64_t served = 0, refused = 0, failed = 0;
+    };
+    std::vector<Ends> ends;
   };
   const Counts& counts() const { return counts_; }
   robinseam::Balancer::Stats module_stats() const { return balancer_.stats(); }
@@ -170,6 +182,7 @@
   std::string make_id();
   bool id_taken(const std::string& id) const;
   void note_id(const std::string& id);
+  Counts::Ends* ends_of(const std::string& type);
   void give_reply(Open& open, Reply&& reply);
   void tell_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result);
   void forget_if_done(RequestId id);
@@ -188,6 +201,7 @@
   std::array<std::unordered_set<std::string>, 2> ids_;
   Micros ids_since_ = 0;
   std::size_t max_open_, max_ids_;
+  std::size_t unanswered_ = 0;
   std::deque<Event> events_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
   std::uint64_t timer_order_ = 0;
--- /dev/null
+++ b/src/membership/ban_file.hpp
@@ -0,0 +1,45 @@
+// The bans of a router in a file, which both processes of an upgrade read and write.
+#pragma once
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+
+#include "hand_list.hpp"
+
+namespace arrowfork {
+
+/// The file is replaced as a whole by rename, so that no reader sees a part of it; who changes it
+/// holds a lock beside it meanwhile.
+class BanFile {
+ public:
+  /// With an empty path nothing is kept on disk and the bans are this process's alone.
+  explicit BanFile(std::string path) : path_(std::move(path)) {}
+
+  /// The bans where the file has changed since the last look. A file that can't be read as one
+  /// changes nothing; `error` says why.
+  std::optional<Bans> look(std::string& error);
+  /// Takes `id` out from `now` on, or puts it back; gives all bans as they stand then. Nothing with
+  /// the reason in `error` where that could not be kept.
+  std::optional<Bans> change(const std::string& id, bool out, robinseam::Micros now,
+                             std::string& error);
+
+ private:
+  std::optional<Bans> read(std::string& error) const;
+  bool write(const Bans& bans, std::string& error) const;
+  /// Which file was read last.
+  struct Mark {
+    ino_t inode = 0;
+    off_t size = -1;
+    std::int64_t changed_ns = 0;
+    bool operator==(const Mark&) const = default;
+  };
+  Mark mark() const;
+
+  std::string path_;
+  Mark seen_;
+  Bans bans_;
+};
+
+}  // namespace arrowfork
--- a/src/net/client_codec.cpp
+++ b/src/net/client_codec.cpp
@@ -44,7 +44,7 @@
     case CommandReader::Got::Nothing:
       return Got::Nothing;
     case CommandReader::Got::Noop:
-      taken.answer = "MN\r\n";
+      taken.answer = away_ ? "SERVER_ERROR draining\r\n" : "MN\r\n";
       return Got::Answer;
     case CommandReader::Got::Unknown:
       taken.answer = "ERROR\r\n";
--- a/src/net/client_codec.hpp
+++ b/src/net/client_codec.hpp
@@ -51,7 +51,9 @@
 class MetaClientCodec final : public ClientCodec {
  public:
   /// `flags`: clients may ask for and set the flags that binary clients keep beside values.
-  MetaClientCodec(const Core& core, bool flags) : core_(core), reader_(flags) {}
+  /// `away`: clients are being sent away, which `mn` tells.
+  MetaClientCodec(const Core& core, bool flags, const bool& away)
+      : core_(core), away_(away), reader_(flags) {}
   Got take(std::string_view& in, Taken& taken) override;
   bool in_command() const override { return reader_.in_command(); }
   std::string not_taken(const CommandTag& tag, Core::Taken why) const override;
@@ -59,6 +61,7 @@
 
  private:
   const Core& core_;
+  const bool& away_;
   CommandReader reader_;
 };
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -36,6 +36,13 @@
 constexpr std::size_t kLingerBytes = 1u << 20;
 // Also how long new connections wait at most once one of those in the table may make way.
 constexpr Micros kSweep = kSecond / 10;
+// Clients are sent away: so long after the call the front has asked `mn` again and sends no more
+// new connections (0.1 s and 0.2 s, and some delay). From then on a connection that has its answer
+// is closed, one that was idle for a while too, and after the longer time every one between
+// requests: 4 s after the call none may be held.
+constexpr Micros kAwayNoticed = kSecond / 2;
+constexpr Micros kAwayIdle = kSecond / 2;
+constexpr Micros kAwayAll = 2 * kSecond;
 
 }  // namespace
 
@@ -99,7 +106,7 @@
       codec_ = std::make_unique<BinaryClientCodec>(side_.rules_, side_.stats_);
     } else {
       ++side_.counts_.meta;
-      codec_ = std::make_unique<MetaClientCodec>(side_.core_, side_.rules_.any());
+      codec_ = std::make_unique<MetaClientCodec>(side_.core_, side_.rules_.any(), side_.away_);
     }
   }
 
@@ -128,6 +135,7 @@
                  (request.value ? request.value->size() : 0);
     if (request.line_before_wait.empty()) slot.bytes += binary::kHeader + request.key.size();
     hold_more(slot.bytes);
+    if (over_limit_) side_.core_.note_refused(request.type);
     Core::Taken taken = over_limit_
                             ? Core::Taken::Busy
                             : side_.core_.take(std::move(request), slot, side_.carrier_, slot.id);
@@ -212,15 +220,30 @@
       out_.erase(0, out_at_);
       out_at_ = 0;
     }
-    if (out_.empty() && slots_.empty() &&
-        (eof_ || broken_ || over_limit_ || (side_.draining_ && between_requests()))) {
-      finish();
-      return;
+    if (out_.empty() && slots_.empty()) {
+      if (eof_ || broken_ || over_limit_) {
+        finish();
+        return;
+      }
+      if (side_.closing() && between_requests()) {
+        part();
+        return;
+      }
     }
     if (!held_.empty() && !closed_) parse_held();
     update_reading();
   }
 
+  /// Ends the connection between two requests: what the client sends next is another process's, or
+  /// crosses our end.
+  void part() {
+    if (lingering_) return;
+    ClientSide::Given given =
+        side_.draining_ && side_.give_ ? side_.give_(fd_.get()) : ClientSide::Given::No;
+    if (given == ClientSide::Given::Yes) side_.close(*this);
+    if (given == ClientSide::Given::No) finish();
+  }
+
   /// Closes after the last answer.
   void finish() {
     if (lingering_) return;
@@ -245,6 +268,12 @@
   void sweep(Micros now) {
     if (!held_.empty()) parse_held();  // others may have made room in the common budget
     update_reading();
+    if (closed_) return;
+    if (side_.closing() && at_rest() && between_requests() && !lingering_ && !side_.draining_ &&
+        (now - since_ > kAwayIdle || now - side_.away_since_ > kAwayAll)) {
+      finish();
+      return;
+    }
     Micros most = lingering_            ? kLingerTime
                   : at_rest() && asked_ ? kIdleTime
                   : slots_.empty()      ? kCommandTime
@@ -297,19 +326,24 @@
 
 ClientSide::~ClientSide() = default;
 
-bool ClientSide::listen(const sockaddr_in& address, std::string& error) {
+bool ClientSide::listen(const sockaddr_in& address, std::string& error, bool shared) {
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   int on = 1;
   if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      (shared && ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) ||
       ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
       ::listen(fd.get(), SOMAXCONN) != 0) {
     error = std::strerror(errno);
     return false;
   }
-  listener_ = std::move(fd);
+  listen_on(std::move(fd));
+  return true;
+}
+
+void ClientSide::listen_on(Fd listener) {
+  listener_ = std::move(listener);
   accept_event_.reset(event_new(base_, listener_.get(), EV_READ | EV_PERSIST, on_accept, this));
   event_add(accept_event_.get(), nullptr);
-  return true;
 }
 
 std::uint16_t ClientSide::port() const {
@@ -345,14 +379,37 @@
       }
       return;
     }
-    int on = 1;
-    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    bool over = connections_.size() >= limits_.connections;
-    connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(fd), over));
-    connections_.back()->index_ = connections_.size() - 1;
+    admit(std::move(fd), false);
   }
 }
 
+void ClientSide::admit(Fd fd, bool adopted) {
+  int on = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (adopted)
+    while (connections_.size() >= limits_.connections && make_room()) {
+    }
+  bool over = connections_.size() >= limits_.connections;
+  connections_.push_back(std::make_unique<ClientConnection>(*this, std::move(fd), over));
+  connections_.back()->index_ = connections_.size() - 1;
+  connections_.back()->asked_ = adopted;
+}
+
+void ClientSide::hold_back(bool on) {
+  held_back_ = on;
+  if (!accept_event_) return;
+  on ? event_del(accept_event_.get()) : event_add(accept_event_.get(), nullptr);
+}
+
+void ClientSide::send_away(bool on) {
+  if (on && !away_) away_since_ = clock_.now();
+  away_ = on;
+}
+
+bool ClientSide::closing() const {
+  return draining_ || (away_ && clock_.now() - away_since_ > kAwayNoticed);
+}
+
 /// First one that has its last answer and only has to close, then one that has been silent since
 /// its connect, each if it had time to act; then one that had its answers. The oldest of each.
 /// Guards against floods of connections of any kind; the harm is a connect more for a client that
@@ -378,7 +435,7 @@
   Micros now = clock_.now();
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
     if (k < connections_.size()) connections_[k]->sweep(now);
-  if (accept_paused_ && !draining_) {
+  if (accept_paused_ && !draining_ && !held_back_) {
     accept_paused_ = false;
     event_add(accept_event_.get(), nullptr);
   }
@@ -430,9 +487,12 @@
 }
 
 void ClientSide::drain() {
+  // Those that could not be passed on before.
+  if (draining_ && give_)
+    for (auto& c : connections_) touch(*c);
   if (draining_ || !listener_) return;
   if (accept_paused_) event_add(accept_event_.get(), nullptr);
-  accept_some(4096);
+  if (!give_) accept_some(4096);
   draining_ = true;
   accept_event_.reset();
   listener_.reset();
@@ -440,7 +500,7 @@
   for (std::size_t k = connections_.size(); k-- > 0;) {
     if (k >= connections_.size()) continue;
     ClientConnection& c = *connections_[k];
-    if (c.reading_ && !c.eof_ && !c.lingering_) c.read();
+    if (!give_ && c.reading_ && !c.eof_ && !c.lingering_) c.read();
     touch(c);
   }
 }
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -46,8 +47,25 @@
   /// that are open keep their protocol and take over the rest.
   void set_binary(const BinaryRules& rules) { rules_ = rules; }
   void set_stats(StatSource stats) { stats_ = std::move(stats); }
-  /// Listens on `address`; false with the reason in `error`.
-  bool listen(const sockaddr_in& address, std::string& error);
+  /// Listens on `address`; false with the reason in `error`. `shared`: another process may listen
+  /// there too (SO_REUSEPORT), as the new one does beside the old.
+  bool listen(const sockaddr_in& address, std::string& error, bool shared = false);
+  /// Listens on a socket that another process has opened.
+  void listen_on(Fd listener);
+  int listener() const { return listener_.get(); }
+  /// Accepts nobody while it is held back; the connections that wait stay in the backlog.
+  void hold_back(bool on);
+  /// Takes over a connection that another process had, between two of its requests.
+  void adopt(Fd client) { admit(std::move(client), true); }
+  /// What drain() does with connections between requests instead of closing them: the function
+  /// passes one on, and tells whether it did.
+  enum class Given { Yes, Later, No };
+  using Give = std::function<Given(int client)>;
+  void set_give(Give give) { give_ = std::move(give); }
+  /// Sends clients away: `mn` says no, and some time later, when the front knows, connections are
+  /// closed between requests. Whoever comes all the same is served.
+  void send_away(bool on);
+  bool away() const { return away_; }
   /// The port that listen() got; for tests that ask for port 0.
   std::uint16_t port() const;
 
@@ -72,6 +90,9 @@
   static void on_accept(evutil_socket_t, short, void* self);
   static void on_sweep(evutil_socket_t, short, void* self);
   void accept_some(int most);
+  void admit(Fd fd, bool adopted);
+  /// Connections between requests are to be closed now.
+  bool closing() const;
   /// Closes the connection that is missed least; false where all are in use.
   bool make_room();
   void sweep();
@@ -89,6 +110,10 @@
   EventPtr accept_event_, sweep_event_;
   bool accept_paused_ = false;
   bool draining_ = false;
+  bool held_back_ = false;
+  bool away_ = false;
+  Micros away_since_ = 0;
+  Give give_;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -288,6 +288,8 @@
   c.name = text_of(json, "name");
   c.listen = text_of(json, "listen");
   c.discovery = text_of(json, "discovery");
+  c.control = text_of(json, "control");
+  c.state_dir = text_of(json, "state_dir");
   if (json.contains("seed")) c.seed = seed_of(json["seed"]);
   double memory_mb = 192, sockets = 1024;
   if (auto limits = json.find("limits"); limits != json.end()) {
@@ -343,6 +345,24 @@
   }
 }
 
+std::string text_of(const HostList& list) {
+  Json json = {{"seq", list.version}, {"whole", list.whole}, {"hosts", Json::array()}};
+  for (const Host& h : list.hosts) {
+    const char* health = h.server.health == robinseam::Health::Ready      ? "active"
+                         : h.server.health == robinseam::Health::Draining ? "leaving"
+                                                                          : "left";
+    json["hosts"].push_back({{"host", h.server.id},
+                             {"dial", h.dial},
+                             {"site", h.server.zone},
+                             {"class", h.server.kind},
+                             {"block", h.server.cell},
+                             {"health", health},
+                             {"share", h.server.weight},
+                             {"born_ms", h.server.up_since / 1000}});
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 Config parse_config(const std::string& json) {
   try {
     return config_of(parse_json(json));
@@ -375,6 +395,9 @@
   fill("NODE_NAME", c.name);
   fill("NODE_LISTEN", c.listen);
   fill("NODE_DISCOVERY", c.discovery);
+  fill("NODE_CONTROL", c.control);
+  // Only where operators drive it: two routers of one name and one folder are one, being replaced.
+  if (!c.control.empty()) fill("TMPDIR", c.state_dir);
   if (c.listen.empty()) throw ConfigError("listen: missing");
   if (c.discovery.empty()) throw ConfigError("discovery: missing");
   return c;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "../drill/settings.hpp"
+#include "../membership/host_list.hpp"
 #include "binary_rules.hpp"
 
 namespace arrowfork {
@@ -16,20 +17,10 @@
   using std::runtime_error::runtime_error;
 };
 
-/// One cache server as discovery lists it.
-struct Host {
-  robinseam::Server server;
-  std::string dial;
-};
-
-struct HostList {
-  std::string version;
-  bool whole = false;
-  std::vector<Host> hosts;
-};
-
 /// Reads discovery's JSON. Throws ConfigError on anything that is not a list.
 HostList parse_host_list(const std::string& json);
+/// The same form of a list.
+std::string text_of(const HostList& list);
 
 /// The object `ext_proc`: an external processor for other proxies (wheeldeal alone). Header names
 /// that are empty are the usual ones.
@@ -49,6 +40,8 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string control;    ///< address for operators' calls; empty: none
+  std::string state_dir;  ///< what outlives the process is kept there; empty: nothing does
   std::uint64_t seed = 0;
   std::size_t memory_bytes = 0;
   std::size_t sockets = 0;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -1,7 +1,9 @@
 #include "router.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 
 namespace arrowfork {
 namespace {
@@ -25,6 +27,22 @@
 constexpr Micros kStopSlack = 650 * kMillisecond;
 constexpr Micros kLogEvery = 5 * kSecond;
 
+// Bans are looked at and descriptors told this often: half of it is what a ban at the other process
+// of an upgrade takes to be known here.
+constexpr Micros kTick = 50 * kMillisecond;
+// A server that is live over less than this part of its slots is avoided.
+constexpr double kAvoided = 0.05;
+// What one process of an upgrade is left with at least.
+constexpr std::size_t kLeastSockets = 96;
+
+/// A file of this router's in `state_dir`; empty where it has none.
+std::string state_path(const Config& c, const char* suffix) {
+  if (c.state_dir.empty()) return {};
+  std::string name;
+  for (unsigned char one : c.name) name += std::isalnum(one) ? static_cast<char>(one) : '_';
+  return c.state_dir + "/arrowfork-" + name + suffix;
+}
+
 std::size_t server_sockets(const Config& c) { return (c.sockets - kReservedSockets) / 3; }
 
 ClientSide::Limits client_limits(const Config& c) {
@@ -32,6 +50,7 @@
   l.spare_connections = std::min(kSpareClients, c.sockets / 16);
   std::size_t others = kReservedSockets + server_sockets(c) + l.spare_connections;
   if (c.ext_proc) others += c.ext_proc->connections + 1;
+  if (!c.control.empty()) others += Control::kMostConnections + 1;
   l.connections = c.sockets > others ? c.sockets - others : 1;
   l.held_bytes = c.memory_bytes / 4;
   return l;
@@ -77,7 +96,8 @@
       core_(make_core(config, clock, *this)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       clients_(base, clock_, core_, servers_, client_limits(config)),
-      discovery_(base, config.discovery, config.known.version, !config.settings.must_ask, *this) {
+      discovery_(base, config.discovery, config.known.version, !config.settings.must_ask, *this),
+      ban_file_(state_path(config, ".bans")) {
   timer_event_.reset(event_new(base, -1, 0, on_timer, this));
   stop_event_.reset(event_new(base, -1, 0, on_stop_step, this));
   log_event_.reset(event_new(base, -1, EV_PERSIST, on_log, this));
@@ -86,17 +106,52 @@
   clients_.set_binary(config_.binary);
   clients_.set_stats([this] { return stats(); });
   servers_.set_protocols(config_.binary);
-  servers_.take_list(config_.known);
-  core_.start(servers_of(config_.known));
+  if (!config_.control.empty()) {
+    control_.reset(new Control(base_, clock_, *this));
+    tick_event_.reset(event_new(base, -1, EV_PERSIST, on_tick, this));
+    timeval tick = timeval_of(kTick);
+    event_add(tick_event_.get(), &tick);
+    // The running process has the newer list.
+    handover_.reset(new Handover(base_, state_path(config_, ".sock"), *this));
+    Handover::Taken taken = handover_->seek();
+    if (taken.listener) {
+      taking_over_ = true;
+      clients_.listen_on(std::move(taken.listener));
+      clients_.hold_back(true);
+      try {
+        if (!taken.list.empty()) config_.known = parse_host_list(taken.list);
+      } catch (const ConfigError& e) {
+        std::fprintf(stderr, "arrowfork: handover: list: %s\n", e.what());
+      }
+    }
+    std::string error;
+    if (auto bans = ban_file_.look(error)) hand_.set_bans(*bans, clock_.now());
+    if (!error.empty()) std::fprintf(stderr, "arrowfork: %s\n", error.c_str());
+  }
+  HostList known = hand_.take(config_.known);
+  servers_.take_list(known);
+  core_.start(servers_of(known));
 }
 
 bool Router::listen(std::string& error) {
+  if (control_) {
+    auto address = parse_address(config_.control);
+    if (!address || !control_->listen(*address, error)) {
+      error = "control " + config_.control + ": " + (address ? error : "no address");
+      return false;
+    }
+    handover_->serve();
+  }
+  if (taking_over_) {
+    take_over_if_ready();
+    return true;
+  }
   auto address = parse_address(config_.listen);
   if (!address) {
     error = "no address: '" + config_.listen + "'";
     return false;
   }
-  return clients_.listen(*address, error);
+  return clients_.listen(*address, error, control_ != nullptr);
 }
 
 void Router::run() {
@@ -128,8 +183,7 @@
                  "arrowfork: reload: settings, listen and ext_proc are taken at the next start\n");
   config_.sockets = next.sockets;
   config_.memory_bytes = next.memory_bytes;
-  clients_.set_limits(client_limits(config_));
-  servers_.set_limits(server_limits(config_));
+  share_out();
   config_.binary = next.binary;
   clients_.set_binary(config_.binary);
   servers_.set_protocols(config_.binary);
@@ -137,13 +191,27 @@
     config_.discovery = next.discovery;
     discovery_.move_to(next.discovery);
   }
+  ++reloads_ok_;
   std::fprintf(stderr, "arrowfork: reloaded: discovery %s\n", config_.discovery.c_str());
 }
 
 void Router::stop() {
   if (stopping_since_) return;
   stopping_since_ = clock_.now();
-  timeval wait = timeval_of(kStopListening);
+  // A successor listens on the same socket: nobody is kept waiting, and connections go over to it.
+  bool handing = handover_ && handover_->has_successor();
+  if (handing)
+    clients_.set_give([this](int client) {
+      switch (handover_->give(client)) {
+        case Handover::Given::Yes:
+          return ClientSide::Given::Yes;
+        case Handover::Given::Later:
+          return ClientSide::Given::Later;
+        default:
+          return ClientSide::Given::No;
+      }
+    });
+  timeval wait = timeval_of(handing ? 0 : kStopListening);
   event_add(stop_event_.get(), &wait);
 }
 
@@ -197,13 +265,153 @@
 
 // ---- discovery ----
 
-void Router::on_hosts(HostList&& list) {
+void Router::on_hosts(HostList&& told) {
+  HostList list = hand_.take(std::move(told));
   servers_.take_list(list);
   core_.list(list.whole ? ListScope::Full : ListScope::Delta, servers_of(list));
+  take_over_if_ready();
 }
 
 void Router::on_hosts_failed() { core_.list(ListScope::Failed, {}); }
 
+// ---- operators ----
+
+bool Router::ready() const {
+  if (taking_over_ || stopping_since_ || clients_.away()) return false;
+  return std::any_of(hand_.listed().begin(), hand_.listed().end(), [](const auto& entry) {
+    return entry.second.server.health == robinseam::Health::Ready;
+  });
+}
+
+std::string Router::on_control(const ControlCall& call) {
+  using What = ControlCall::What;
+  switch (call.what) {
+    case What::Ready:
+      return ready() ? control_answer(200, "ready\n") : control_answer(503, "not ready\n");
+    case What::Metrics:
+      return control_answer(200, metrics(), "application/json");
+    case What::Disable:
+    case What::Enable:
+      return set_out(call.id, call.what == What::Disable);
+    case What::Drain:
+    case What::Resume:
+      std::fprintf(stderr, "arrowfork: %s by hand\n",
+                   call.what == What::Drain ? "drained" : "resumed");
+      clients_.send_away(call.what == What::Drain);
+      return control_answer(200, "done\n");
+  }
+  return control_answer(400, "no such call\n");
+}
+
+std::string Router::set_out(const std::string& id, bool out) {
+  if (!hand_.known(id)) return control_answer(404, "no such cache server\n");
+  std::string error;
+  auto bans = ban_file_.change(id, out, clock_.now(), error);
+  if (!bans) {
+    std::fprintf(stderr, "arrowfork: %s: %s: %s\n", out ? "disable" : "enable", id.c_str(),
+                 error.c_str());
+    return control_answer(500, error + "\n");
+  }
+  std::fprintf(stderr, "arrowfork: cache server %s %s by hand\n", id.c_str(),
+               out ? "out" : "back");
+  apply_bans(*bans);
+  return control_answer(200, "done\n");
+}
+
+void Router::apply_bans(const Bans& bans) {
+  HostList part = hand_.set_bans(bans, clock_.now());
+  if (part.hosts.empty()) return;
+  servers_.take_list(part);
+  core_.list(ListScope::Delta, servers_of(part));
+}
+
+std::string Router::metrics() const {
+  nlohmann::json json = {{"success", nlohmann::json::object()},
+                         {"busy", nlohmann::json::object()},
+                         {"failure", nlohmann::json::object()}};
+  const Core::Counts& counts = core_.counts();
+  for (std::size_t k = 0; k < counts.ends.size(); ++k) {
+    const std::string& name = core_.classes()[k].name;
+    json["success"][name] = counts.ends[k].served;
+    json["busy"][name] = counts.ends[k].refused;
+    json["failure"][name] = counts.ends[k].failed;
+  }
+  json["backend_calls"] = servers_.counts().written;
+  json["inflight"] = core_.unanswered();
+  json["hosts_listed"] = hand_.listed().size();
+  json["hosts_down"] =
+      std::count_if(hand_.listed().begin(), hand_.listed().end(), [this](const auto& entry) {
+        return entry.second.server.health != robinseam::Health::Ready ||
+               core_.live_fraction(entry.first) < kAvoided;
+      });
+  json["reconfig_ok"] = reloads_ok_;
+  json["reconfig_failed"] = reloads_failed_;
+  return json.dump();
+}
+
+void Router::on_tick(evutil_socket_t, short, void* self) {
+  auto* r = static_cast<Router*>(self);
+  std::string error;
+  if (auto bans = r->ban_file_.look(error)) r->apply_bans(*bans);
+  if (!error.empty()) std::fprintf(stderr, "arrowfork: %s\n", error.c_str());
+  r->handover_->tell_held(r->held_descriptors());
+}
+
+// ---- a new version ----
+
+void Router::take_over_if_ready() {
+  if (!taking_over_) return;
+  taking_over_ = false;
+  if (!ready() && handover_->has_predecessor()) {
+    taking_over_ = true;
+    return;
+  }
+  std::fprintf(stderr, "arrowfork: takes over from the running process\n");
+  handover_->take();
+  clients_.hold_back(false);
+}
+
+void Router::on_successor() {
+  std::fprintf(stderr, "arrowfork: a new process accepts clients\n");
+  clients_.hold_back(true);
+  share_out();
+}
+
+void Router::on_successor_lost() {
+  std::fprintf(stderr, "arrowfork: the new process has ended\n");
+  if (!stopping_since_) clients_.hold_back(false);
+  clients_.set_give(nullptr);
+  share_out();
+}
+
+void Router::on_predecessor_holds(std::size_t descriptors) {
+  held_elsewhere_ = descriptors;
+  share_out();
+}
+
+void Router::on_predecessor_gone() {
+  held_elsewhere_ = 0;
+  share_out();
+  take_over_if_ready();
+}
+
+std::size_t Router::held_descriptors() const {
+  return clients_.connections() + servers_.connections() + kReservedSockets;
+}
+
+/// Shares the limits out. Both processes of an upgrade are under one: the old one opens nothing
+/// more than it has, and the new one has what that leaves.
+void Router::share_out() {
+  Config part = config_;
+  bool successor = handover_ && handover_->has_successor();
+  if (successor || held_elsewhere_ > 0) part.memory_bytes /= 2;
+  part.sockets = std::max(kLeastSockets, part.sockets - std::min(part.sockets, held_elsewhere_));
+  ServerSide::Limits servers = server_limits(part);
+  if (successor) servers.connections = std::max<std::size_t>(1, servers_.connections());
+  servers_.set_limits(servers);
+  clients_.set_limits(client_limits(part));
+}
+
 // ---- timers ----
 
 void Router::on_timer(evutil_socket_t, short, void* self) {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -1,12 +1,17 @@
 // The router: the core between client connections, server connections and discovery, on one loop.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "../control/control.hpp"
+#include "../control/handover.hpp"
 #include "../core/core.hpp"
 #include "../io/io.hpp"
+#include "../membership/ban_file.hpp"
+#include "../membership/hand_list.hpp"
 #include "client_side.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
@@ -15,7 +20,11 @@
 
 namespace arrowfork {
 
-class Router final : ServerSide::Handler, Discovery::Handler, Lister {
+class Router final : ServerSide::Handler,
+                     Discovery::Handler,
+                     Lister,
+                     Control::Handler,
+                     Handover::Handler {
  public:
   /// Throws ConfigError when the configuration can't be used. `clock` must outlive the router.
   Router(event_base* base, const Config& config, const TimeSource& clock);
@@ -32,6 +41,12 @@
   /// Ends run() without a drain.
   void quit() { done_ = true; }
   std::uint16_t port() const { return clients_.port(); }
+  /// Of the control address; 0 where there is none.
+  std::uint16_t control_port() const { return control_ ? control_->port() : 0; }
+  /// Clients are accepted here and some cache server is listed that may be used.
+  bool ready() const;
+  /// A reload that could not be carried out, for the figures.
+  void note_failed_reload() { ++reloads_failed_; }
   Core& core() { return core_; }
   /// A further front, which takes part in the loop and in the planned end from here on. It must
   /// outlive run().
@@ -53,6 +68,25 @@
   void watch() override { discovery_.watch(); }
   void fetch() override { discovery_.fetch(); }
 
+  // Control::Handler
+  std::string on_control(const ControlCall& call) override;
+  // Handover::Handler
+  int listener() override { return clients_.listener(); }
+  std::string list() override { return text_of(hand_.told()); }
+  void on_successor() override;
+  void on_successor_lost() override;
+  void on_client(Fd&& client) override { clients_.adopt(std::move(client)); }
+  void on_predecessor_holds(std::size_t descriptors) override;
+  void on_predecessor_gone() override;
+
+  std::string set_out(const std::string& id, bool out);
+  void apply_bans(const Bans& bans);
+  /// Accepts clients in the predecessor's place as soon as they can be served.
+  void take_over_if_ready();
+  std::size_t held_descriptors() const;
+  void share_out();
+  std::string metrics() const;
+  static void on_tick(evutil_socket_t, short, void* self);
   static void on_timer(evutil_socket_t, short, void* self);
   static void on_stop_step(evutil_socket_t, short, void* self);
   static void on_log(evutil_socket_t, short, void* self);
@@ -64,10 +98,17 @@
   const TimeSource& clock_;
   Core core_;
   Micros armed_at_ = 0;
-  EventPtr timer_event_, stop_event_, log_event_;
+  EventPtr timer_event_, stop_event_, log_event_, tick_event_;
   ServerSide servers_;
   ClientSide clients_;
   Discovery discovery_;
+  HandList hand_;
+  BanFile ban_file_;
+  std::unique_ptr<Control> control_;
+  std::unique_ptr<Handover> handover_;
+  bool taking_over_ = false;  // the predecessor still accepts
+  std::size_t held_elsewhere_ = 0;  // descriptors of the other process of an upgrade
+  std::uint64_t reloads_ok_ = 0, reloads_failed_ = 0;
   std::vector<Front*> fronts_;
   Micros stopping_since_ = 0;
   bool done_ = false;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -168,6 +168,7 @@
         partial_ -= e.size;
         std::string().swap(e.bytes);
         ++sent_;
+        ++side_.counts_.written;
       }
     }
   }
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -63,6 +63,7 @@
     std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
     std::uint64_t ended_idle = 0, ended_busy = 0, garbage = 0, closed_idle = 0, gave_up = 0;
     std::uint64_t late_answers = 0, made_room = 0, wrong_protocol = 0;
+    std::uint64_t written = 0;  ///< attempts, whole
   };
   const Counts& counts() const { return counts_; }
 
