Values up to 4 MiB run through a bounded pipe; large writes wait for a pool

Change: a read's head ends its attempt well, its value runs through a window of 8 to 64 KiB from the server's connection to the client's, each side stopping the other; an end too soon closes the client's connection. Writes over 64 KiB are read whole into a pool and referred to, not copied, by their attempts. Heads may take 2.5 s, values as long as they move.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -171,6 +171,7 @@
     Reply reply;
     reply.kind = Reply::Kind::Served;
     reply.value = std::move(result.value);
+    reply.pipe = std::move(result.pipe);
     reply.receipt = std::move(result.receipt);
     reply.flags = result.flags;
     give_reply(open, std::move(reply));
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "robinseam/balancer.hpp"
+#include "value_pipe.hpp"
 
 namespace arrowfork {
 
@@ -38,8 +39,9 @@
 
 /// What an attempt brought back.
 struct AttemptResult {
-  std::string value;    ///< of a read that was served
-  std::string receipt;  ///< of a write that was served
+  std::string value;                ///< of a read that was served
+  std::shared_ptr<ValuePipe> pipe;  ///< in its place where the value is large and still comes
+  std::string receipt;              ///< of a write that was served
   std::uint32_t flags = 0;
   int note = 0;                ///< 1 hit, 2 miss, 3 miss while another fetch is out, 0 not told
   std::vector<double> report;  ///< in the order of the settings' fields; NaN where not told
@@ -54,6 +56,7 @@
   };
   Kind kind = Kind::Failed;
   std::string value, receipt;
+  std::shared_ptr<ValuePipe> pipe;  ///< in place of `value`
   std::uint32_t flags = 0;
   Micros come_back = 0;  ///< 0 = not told
   /// Not served, and the last server asked holds nothing (aside mode).
--- a/src/net/client_codec.cpp
+++ b/src/net/client_codec.cpp
@@ -98,10 +98,11 @@
   if (reply.kind == Reply::Kind::Refused)
     return "SERVER_ERROR " + busy_text(reply.come_back) + "\r\n";
   if (request.write) return "HD O" + request.id + " c" + reply.receipt + "\r\n";
-  std::string text = "VA " + std::to_string(reply.value.size());
+  std::string text = "VA " + std::to_string(reply.pipe ? reply.pipe->length() : reply.value.size());
   if (request.wants_flags) text += " f" + std::to_string(reply.flags);
   text.reserve(text.size() + request.id.size() + reply.value.size() + 8);
-  text.append(" O").append(request.id).append("\r\n").append(reply.value).append("\r\n");
+  text.append(" O").append(request.id).append("\r\n");
+  if (!reply.pipe) text.append(reply.value).append("\r\n");
   return text;
 }
 
@@ -199,7 +200,7 @@
     return binary::response(tag.opcode, binary::status::kInternal, tag.opaque, "failed");
   if (!request.write)
     return binary::response(tag.opcode, binary::status::kOk, tag.opaque, reply.value, request.key,
-                            reply.flags);
+                            reply.flags, 0, reply.pipe ? reply.pipe->length() : 0);
   if (binary::is_quiet(tag.opcode)) return {};
   return binary::response(tag.opcode, binary::status::kOk, tag.opaque, {}, {}, 0,
                           cas_of(reply.receipt));
--- a/src/net/client_codec.hpp
+++ b/src/net/client_codec.hpp
@@ -41,11 +41,16 @@
   virtual Got take(std::string_view& in, Taken& taken) = 0;
   /// True while a command has come in part.
   virtual bool in_command() const = 0;
+  /// Bytes of the value that is being read; 0 between values.
+  virtual std::size_t in_value() const { return 0; }
   /// True while quiet commands wait for the command that tells the client that they are done.
   virtual bool barrier_due() const { return false; }
   /// The answer to a request that the core did not take.
   virtual std::string not_taken(const CommandTag& tag, Core::Taken why) const = 0;
+  /// With a pipe in `reply`: what stands before the value.
   virtual std::string reply(const CommandTag& tag, const Request& request, Reply&& reply) const = 0;
+  /// What stands behind a value that came through a pipe.
+  virtual std::string_view behind_value() const = 0;
 };
 
 class MetaClientCodec final : public ClientCodec {
@@ -56,8 +61,10 @@
       : core_(core), away_(away), reader_(flags) {}
   Got take(std::string_view& in, Taken& taken) override;
   bool in_command() const override { return reader_.in_command(); }
+  std::size_t in_value() const override { return reader_.in_value(); }
   std::string not_taken(const CommandTag& tag, Core::Taken why) const override;
   std::string reply(const CommandTag& tag, const Request& request, Reply&& reply) const override;
+  std::string_view behind_value() const override { return "\r\n"; }
 
  private:
   const Core& core_;
@@ -75,6 +82,7 @@
   bool barrier_due() const override { return barrier_due_; }
   std::string not_taken(const CommandTag& tag, Core::Taken why) const override;
   std::string reply(const CommandTag& tag, const Request& request, Reply&& reply) const override;
+  std::string_view behind_value() const override { return {}; }
 
  private:
   Got take_request(binary::Command& command, Taken& taken) const;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -18,9 +18,13 @@
 constexpr std::size_t kHeldMost = 2 * (kMaxValue + kMaxLine);
 // Output buffers larger than this are given back when empty.
 constexpr std::size_t kOutLow = 32u << 10;
-// A command must come within this of its first byte, and a connection's first one within this of
-// the connect: DAYS owes bad clients an error or a close within 3 s, the sweep's step included.
-constexpr Micros kCommandTime = 2 * kSecond;
+// A command's line must come within this of its first byte, and a connection's first one within
+// this of the connect: a client may take 2 s for a head, and DAYS owes bad clients an error or a
+// close within 3 s, the sweep's step included.
+constexpr Micros kCommandTime = 2'500 * kMillisecond;
+// A value may come as slowly as it likes, but not stand still for so long, nor take longer in all.
+constexpr Micros kValueSilence = 2'500 * kMillisecond;
+constexpr Micros kValueTime = 60 * kSecond;
 // Nothing is lost with a connection on which nothing was asked for this long, and clients that keep
 // theirs for good would fill the table with them. DAYS allows it from 2 s on; clients' own pools
 // are used again well within this, and closing those would cost them connects and crossings.
@@ -29,7 +33,8 @@
 // way, and one that has not closed this long after its last answer: clients connect to ask.
 constexpr Micros kSilentTime = kSecond / 10;
 // A client that takes none of its answer for this long is given up.
-constexpr Micros kStallTime = 2 * kSecond;
+// Slow readers of large values show that they read only by half a socket's buffer at a time.
+constexpr Micros kStallTime = 5 * kSecond;
 // After our FIN the connection is read until the client's, at most this long and this many bytes:
 // closing with unread bytes would send a reset, which may destroy the last answer on its way.
 constexpr Micros kLingerTime = kSecond / 2;
@@ -54,7 +59,10 @@
     write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
     event_add(read_.get(), nullptr);
   }
-  ~ClientConnection() { hold_less(held_bytes_); }
+  ~ClientConnection() {
+    hold_less(held_bytes_);
+    side_.bulk_bytes_ -= bulk_;
+  }
 
   static void on_event(evutil_socket_t, short what, void* self) {
     auto* c = static_cast<ClientConnection*>(self);
@@ -87,7 +95,8 @@
       return;
     }
     asked_ = true;
-    if (!in_command()) since_ = side_.clock_.now();
+    heard_at_ = side_.clock_.now();
+    if (!in_command()) since_ = heard_at_;
     std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
     if (held_.empty()) {
       parse(in);
@@ -119,6 +128,7 @@
       if (got == ClientCodec::Got::Nothing) break;
       since_ = side_.clock_.now();  // the next one begins
       ClientSlot& slot = add_slot();
+      slot.bulk = std::exchange(bulk_, 0);
       slot.tag = taken.tag;
       if (got == ClientCodec::Got::Request) {
         take(slot, std::move(taken.request));
@@ -132,7 +142,7 @@
 
   void take(ClientSlot& slot, Request&& request) {
     slot.bytes = request.line_before_wait.size() + request.line_after_wait.size() +
-                 (request.value ? request.value->size() : 0);
+                 (request.value && slot.bulk == 0 ? request.value->size() : 0);
     if (request.line_before_wait.empty()) slot.bytes += binary::kHeader + request.key.size();
     hold_more(slot.bytes);
     if (over_limit_) side_.core_.note_refused(request.type);
@@ -145,6 +155,7 @@
   /// Back-pressure: what a client has under way is bounded, for itself and for all together. One
   /// with nothing under way is always read, so that none waits for others for good.
   bool may_take() const {
+    if (waits_for_room_) return false;
     if (slots_.empty() && out_.empty()) return true;
     return slots_.size() < kPipelineMax && held_bytes_ < kHeldMost &&
            side_.held_bytes_ < side_.limits_.held_bytes;
@@ -165,6 +176,20 @@
     held_.erase(0, held_.size() - in.size());
   }
 
+  /// A large value's place in the pool: without it the connection is not read on.
+  void reserve_bulk() {
+    std::size_t need = codec_ ? codec_->in_value() : 0;
+    waits_for_room_ = false;
+    if (need <= kMaxValue + 2 || bulk_ > 0) return;
+    if (side_.bulk_bytes_ > 0 && side_.bulk_bytes_ + need > side_.limits_.bulk_bytes) {
+      waits_for_room_ = true;
+      heard_at_ = since_ = side_.clock_.now();
+      return;
+    }
+    bulk_ = need;
+    side_.bulk_bytes_ += need;
+  }
+
   /// A half-close looks like a close. What was taken is still answered: a client that is really
   /// gone only makes the write fail.
   void end_of_input() {
@@ -185,17 +210,32 @@
     return slots_.back();
   }
 
-  /// Moves finished answers into the output, in order.
+  /// Moves finished answers into the output, in order; of a large value so much as may be held.
   void advance() {
-    while (!slots_.empty() && slots_.front().done) {
-      out_ += slots_.front().text;
+    while (!slots_.empty() && slots_.front().done && !cut_short_) {
+      ClientSlot& slot = slots_.front();
+      out_ += std::exchange(slot.text, {});
+      if (ValuePipe* pipe = slot.pipe.get()) {
+        while (out_.size() - out_at_ < pipe->window()) {
+          std::string bytes = pipe->take();
+          if (bytes.empty()) break;
+          hold_more(bytes.size());
+          out_ += bytes;
+        }
+        if (!pipe->finished()) {
+          cut_short_ = pipe->failed();
+          return;
+        }
+        std::string_view behind = codec_->behind_value();
+        hold_more(behind.size());
+        out_ += behind;
+      }
       slots_.pop_front();
     }
   }
 
   void flush() {
-    advance();
-    while (out_at_ < out_.size()) {
+    while (!closed_ && (advance(), out_at_ < out_.size())) {
       ssize_t put = ::send(fd_.get(), out_.data() + out_at_, out_.size() - out_at_, MSG_NOSIGNAL);
       if (put < 0) {
         if (errno == EINTR) continue;
@@ -220,6 +260,12 @@
       out_.erase(0, out_at_);
       out_at_ = 0;
     }
+    // The client has been told a length that will not come: an end is all that can tell it.
+    if (out_.empty() && cut_short_) {
+      slots_.clear();
+      side_.close(*this);
+      return;
+    }
     if (out_.empty() && slots_.empty()) {
       if (eof_ || broken_ || over_limit_) {
         finish();
@@ -259,6 +305,7 @@
 
   void update_reading() {
     if (closed_ || eof_ || lingering_) return;
+    reserve_bulk();
     bool want = held_.empty() && !broken_ && may_take();
     if (want == reading_) return;
     reading_ = want;
@@ -266,7 +313,7 @@
   }
 
   void sweep(Micros now) {
-    if (!held_.empty()) parse_held();  // others may have made room in the common budget
+    if (!held_.empty() && !waits_for_room_) parse_held();  // others may have made room
     update_reading();
     if (closed_) return;
     if (side_.closing() && at_rest() && between_requests() && !lingering_ && !side_.draining_ &&
@@ -274,11 +321,14 @@
       finish();
       return;
     }
+    bool in_value = codec_ && codec_->in_value() > 0;
     Micros most = lingering_            ? kLingerTime
                   : at_rest() && asked_ ? kIdleTime
-                  : slots_.empty()      ? kCommandTime
-                                        : Micros{0};
+                  : !slots_.empty()     ? Micros{0}
+                  : in_value            ? kValueTime
+                                        : kCommandTime;
     if ((most > 0 && out_.empty() && now - since_ > most) ||
+        (in_value && slots_.empty() && now - heard_at_ > kValueSilence) ||
         (stalled_since_ && now - stalled_since_ > kStallTime))
       side_.close(*this);
   }
@@ -293,7 +343,10 @@
   std::size_t out_at_ = 0;
   std::size_t held_bytes_ = 0;  // of its slots and `out_`, in the common budget too
   std::size_t lingered_ = 0;
-  bool asked_ = false;  // something has come on it
+  std::size_t bulk_ = 0;         // of the value that is being read, in the pool
+  bool waits_for_room_ = false;  // in the pool
+  bool cut_short_ = false;       // a large value came in part
+  bool asked_ = false;           // something has come on it
   bool reading_ = true;
   bool eof_ = false;
   bool broken_ = false;  // framing lost: closes after the answers due
@@ -304,11 +357,22 @@
   Micros
       since_;  // connect, first byte of a command, or end of the last answer; start of the linger
   Micros stalled_since_ = 0;
+  Micros heard_at_ = 0;
   std::size_t index_ = 0;  // in ClientSide::connections_
 };
 
 void ClientSlot::on_reply(const Request& request, Reply&& reply) {
-  connection->side_.answer(*this, connection->codec_->reply(tag, request, std::move(reply)));
+  std::shared_ptr<ValuePipe> pipe = reply.pipe;
+  connection->side_.answer(*this, connection->codec_->reply(tag, request, std::move(reply)),
+                           std::move(pipe));
+}
+
+ClientSlot::~ClientSlot() {
+  ClientSide& side = connection->side_;
+  side.bulk_bytes_ -= bulk;
+  if (!pipe) return;
+  --side.piping_;
+  pipe->abandon();
 }
 
 ClientSide::ClientSide(event_base* base, const TimeSource& clock, Core& core, Carrier& carrier,
@@ -465,8 +529,14 @@
   connections_.pop_back();
 }
 
-void ClientSide::answer(ClientSlot& slot, std::string text) {
+void ClientSide::answer(ClientSlot& slot, std::string text, std::shared_ptr<ValuePipe> pipe) {
   ClientConnection& c = *slot.connection;
+  bulk_bytes_ -= std::exchange(slot.bulk, 0);
+  if (pipe) {
+    ++piping_;
+    pipe->on_bytes([this, &c] { touch(c); });
+    slot.pipe = std::move(pipe);
+  }
   c.hold_less(slot.bytes);
   slot.bytes = text.size();
   c.hold_more(slot.bytes);
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -22,10 +22,13 @@
   ClientConnection* connection = nullptr;
   RequestId id = 0;
   CommandTag tag;
-  std::string text;       ///< answer bytes that wait for those before them
+  std::string text;                 ///< answer bytes that wait for those before them
+  std::shared_ptr<ValuePipe> pipe;  ///< what follows them
+  std::size_t bulk = 0;             ///< of the command's value, as counted in the pool
   std::size_t bytes = 0;  ///< of the command, then of the answer, as counted in the budgets
-  bool done = false;      ///< the whole answer is in `text`
+  bool done = false;      ///< the whole answer is in `text` and `pipe`
 
+  ~ClientSlot();
   void on_reply(const Request& request, Reply&& reply) override;
 };
 
@@ -35,6 +38,7 @@
     std::size_t connections = 600;       ///< beyond, commands are refused as busy
     std::size_t spare_connections = 50;  ///< so many beyond are accepted for that
     std::size_t held_bytes = 32u << 20;  ///< of commands and answers, all clients together
+    std::size_t bulk_bytes = kMaxBulk;   ///< of values over kMaxValue that clients write
   };
 
   /// Requests go to `core` with `carrier` for their attempts.
@@ -77,6 +81,8 @@
   /// connection as soon as it is between requests.
   void drain();
   std::size_t connections() const { return connections_.size(); }
+  /// Large values on their way to clients.
+  std::size_t piping() const { return piping_; }
   struct Counts {
     std::uint64_t meta = 0, binary = 0;  ///< connections that have said which they speak
   };
@@ -86,7 +92,7 @@
   friend class ClientConnection;
   friend struct ClientSlot;
   /// Gives the whole final answer.
-  void answer(ClientSlot& slot, std::string text);
+  void answer(ClientSlot& slot, std::string text, std::shared_ptr<ValuePipe> pipe = nullptr);
   static void on_accept(evutil_socket_t, short, void* self);
   static void on_sweep(evutil_socket_t, short, void* self);
   void accept_some(int most);
@@ -117,7 +123,8 @@
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // freed at the end of an iteration
   std::vector<ClientConnection*> dirty_;
-  std::size_t held_bytes_ = 0;
+  std::size_t held_bytes_ = 0, bulk_bytes_ = 0;
+  std::size_t piping_ = 0;
   Counts counts_;
   std::unique_ptr<char[]> scratch_;
 };
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -53,6 +53,7 @@
   if (!c.control.empty()) others += Control::kMostConnections + 1;
   l.connections = c.sockets > others ? c.sockets - others : 1;
   l.held_bytes = c.memory_bytes / 4;
+  l.bulk_bytes = std::max(kMaxBulk, c.memory_bytes / 6);
   return l;
 }
 
@@ -65,6 +66,7 @@
   l.keepalive = c.links.keepalive;
   l.dial_timeout = c.links.dial_timeout;
   l.may_cancel = c.settings.may_cancel;
+  l.pipe_bytes = c.memory_bytes / 8;
   return l;
 }
 
@@ -312,8 +314,7 @@
                  error.c_str());
     return control_answer(500, error + "\n");
   }
-  std::fprintf(stderr, "arrowfork: cache server %s %s by hand\n", id.c_str(),
-               out ? "out" : "back");
+  std::fprintf(stderr, "arrowfork: cache server %s %s by hand\n", id.c_str(), out ? "out" : "back");
   apply_bans(*bans);
   return control_answer(200, "done\n");
 }
@@ -337,7 +338,7 @@
     json["failure"][name] = counts.ends[k].failed;
   }
   json["backend_calls"] = servers_.counts().written;
-  json["inflight"] = core_.unanswered();
+  json["inflight"] = core_.unanswered() + clients_.piping();
   json["hosts_listed"] = hand_.listed().size();
   json["hosts_down"] =
       std::count_if(hand_.listed().begin(), hand_.listed().end(), [this](const auto& entry) {
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -12,15 +12,16 @@
  public:
   explicit MetaServerCodec(const std::vector<robinseam::ReportField>* fields) : reader_(fields) {}
 
-  std::string encode(const Request& r, std::int64_t wait_ms, std::uint32_t,
-                     Expected& expected) const override {
+  Encoded encode(const Request& r, std::int64_t wait_ms, std::uint32_t,
+                 Expected& expected) const override {
     expected = {r.write, r.wants_flags, r.id, 0};
     char digits[24];
     std::string_view wait(digits,
                           static_cast<std::size_t>(
                               std::to_chars(digits, digits + sizeof digits, wait_ms).ptr - digits));
     std::string text;
-    std::size_t value = r.value ? r.value->size() + 2 : 0;
+    bool bulk = r.value && r.value->size() > kMaxValue;
+    std::size_t value = r.value && !bulk ? r.value->size() + 2 : 0;
     if (!r.line_before_wait.empty()) {
       text.reserve(r.line_before_wait.size() + wait.size() + r.line_after_wait.size() + 2 + value);
       text.append(r.line_before_wait).append(wait).append(r.line_after_wait);
@@ -29,13 +30,18 @@
       compose(r, wait, text);
     }
     text += "\r\n";
+    if (bulk) return {std::move(text), r.value, "\r\n"};
     if (r.value) text.append(*r.value).append("\r\n");
-    return text;
+    return {std::move(text), nullptr, {}};
   }
 
   Got take(std::string_view& in, const Expected* next, Answer& answer) override {
     arrowfork::Answer got;
+    auto what = Got::Answer;
     switch (reader_.take(in, got)) {
+      case AnswerReader::Got::Begin:
+        what = Got::Begin;
+        break;
       case AnswerReader::Got::Nothing:
         return Got::Nothing;
       case AnswerReader::Got::Broken:
@@ -46,12 +52,13 @@
     if (!next || !fits(*next, got)) return Got::Broken;
     answer.status = status_of(got);
     answer.last = got.last;
+    answer.length = got.length;
     answer.result.value = std::move(got.value);
     answer.result.receipt = std::move(got.receipt);
     answer.result.flags = got.flags.value_or(0);
     answer.result.note = got.note;
     answer.result.report = std::move(got.report);
-    return Got::Answer;
+    return what;
   }
 
   bool in_answer() const override { return reader_.in_answer(); }
@@ -109,8 +116,8 @@
  public:
   explicit BinaryServerCodec(const bool& cas_is_key) : cas_is_key_(cas_is_key) {}
 
-  std::string encode(const Request& r, std::int64_t, std::uint32_t opaque,
-                     Expected& expected) const override {
+  Encoded encode(const Request& r, std::int64_t, std::uint32_t opaque,
+                 Expected& expected) const override {
     expected = {r.write, false, r.key, opaque};
     binary::Command c;
     c.opcode = r.write ? binary::Opcode::Set : binary::Opcode::GetK;
@@ -120,7 +127,7 @@
     if (cas_is_key_ && r.write && fits_cas(r.idempotency)) c.cas = cas_of(r.idempotency);
     c.key = r.key;
     if (r.value) c.value = *r.value;
-    return binary::request(c);
+    return {binary::request(c), nullptr, {}};
   }
 
   Got take(std::string_view& in, const Expected* next, Answer& answer) override {
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -26,19 +26,27 @@
 class ServerCodec {
  public:
   virtual ~ServerCodec() = default;
-  /// The bytes of one attempt; `expected` is filled with what its answer must bear. `opaque` is
-  /// another with each call on any connection.
-  virtual std::string encode(const Request& request, std::int64_t wait_ms, std::uint32_t opaque,
-                             Expected& expected) const = 0;
+  /// What one attempt writes: `bytes`, then the value where it is large, then `tail`.
+  struct Encoded {
+    std::string bytes;
+    std::shared_ptr<const std::string> value;
+    std::string_view tail;  ///< of static storage
+  };
+  /// `expected` is filled with what its answer must bear. `opaque` is another with each call on any
+  /// connection.
+  virtual Encoded encode(const Request& request, std::int64_t wait_ms, std::uint32_t opaque,
+                         Expected& expected) const = 0;
 
   struct Answer {
     Status status = Status::Error;
     AttemptResult result;
-    bool last = false;  ///< after it the connection's framing is not to be trusted
+    bool last = false;       ///< after it the connection's framing is not to be trusted
+    std::size_t length = 0;  ///< of Begin: bytes of the value, with two more for its CRLF
   };
   enum class Got {
     Nothing,  ///< all of `in` is consumed, no answer is whole
     Answer,   ///< `answer` is whole and belongs to `next`
+    Begin,    ///< the same but for its value, which the caller takes from the bytes that follow
     Broken,   ///< no answer, or not to `next`; the connection is of no more use
   };
   /// `next`: whose answer is due; null where none is.
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -40,6 +40,10 @@
 // wrong. Harm: a value that holds a line end just where the server paused runs twice.
 constexpr Micros kEndTime = 20 * kMillisecond;
 constexpr Micros kSweep = kSecond / 40;
+// Of a large value that is passed on, the server gave nothing for this long: it will not end.
+constexpr Micros kPipeSilence = 5 * kSecond;
+// What one large value holds at least and at most; its writer may go over it by one read.
+constexpr std::size_t kLeastWindow = 8u << 10, kMostWindow = 64u << 10;
 // A server of the wrong protocol is told of this often.
 constexpr Micros kComplainEvery = 10 * kSecond;
 
@@ -80,9 +84,11 @@
     int attempt;
     bool live = true;   // somebody waits for it
     Expected expected;  // what its answer must bear
-    std::string bytes;  // the command, its value too
-    std::size_t size;   // of `bytes`, which are freed once written
-    Micros since;       // queued, then abandoned
+    std::string bytes;  // the command, its value too unless it is large
+    std::shared_ptr<const std::string> value;
+    std::string_view tail;
+    std::size_t size;  // of the three, which are freed once written
+    Micros since;      // queued, then abandoned
   };
 
   ServerConnection(ServerSide& side, ServerPool& pool, Fd fd)
@@ -106,10 +112,13 @@
     if (what & EV_READ) c->read();
   }
 
-  bool idle() const { return !connecting_ && entries_.empty(); }
+  ~ServerConnection() { end_pipe(false); }
+
+  bool idle() const { return !connecting_ && entries_.empty() && !pipe_; }
   /// Nobody waits for anything on it.
   bool forsaken() const {
-    return std::none_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.live; });
+    return !pipe_ &&
+           std::none_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.live; });
   }
 
   void await_connect() {
@@ -132,6 +141,10 @@
 
   void flush() {
     if (connecting_) return;
+    if (doomed_ && entries_.empty()) {
+      side_.close(*this);
+      return;
+    }
     // Where servers may be configured for the wrong protocol, one attempt a connection is what that
     // may cost: the others wait for the first answer, and go elsewhere unsent if it is none.
     std::size_t most = side_.rules_.any() && !pool_.proven
@@ -141,14 +154,16 @@
       iovec parts[64];
       int count = 0;
       std::size_t skip = partial_;
-      auto add = [&](const std::string& bytes) {
+      auto add = [&](std::string_view bytes) {
         std::size_t from = std::min(skip, bytes.size());
         skip -= from;
         if (from == bytes.size()) return;
         parts[count++] = {const_cast<char*>(bytes.data()) + from, bytes.size() - from};
       };
-      for (std::size_t k = sent_; k < std::min(most, entries_.size()) && count < 64; ++k)
+      for (std::size_t k = sent_; k < std::min(most, entries_.size()) && count <= 61; ++k) {
         add(entries_[k].bytes);
+        if (entries_[k].value) add(*entries_[k].value), add(entries_[k].tail);
+      }
       msghdr message{};
       message.msg_iov = parts;
       message.msg_iovlen = static_cast<std::size_t>(count);
@@ -167,14 +182,77 @@
         Entry& e = entries_[sent_];
         partial_ -= e.size;
         std::string().swap(e.bytes);
+        e.value.reset();
         ++sent_;
         ++side_.counts_.written;
       }
     }
   }
 
+  void begin_pipe(ServerCodec::Answer& answer) {
+    ++side_.counts_.piped;
+    ++side_.pipes_;
+    pipe_ = std::make_shared<ValuePipe>(answer.length, side_.pipe_window());
+    left_ = answer.length + 2;
+    pipe_->on_room([this] { update_reading(); });
+    answer.result.pipe = pipe_;
+  }
+
+  /// What is left of the value comes no more, or is all there.
+  void end_pipe(bool whole) {
+    if (!pipe_) return;
+    --side_.pipes_;
+    side_.counts_.pipes_broken += !whole && !pipe_->abandoned();
+    std::shared_ptr<ValuePipe> pipe = std::move(pipe_);
+    pipe_.reset();
+    pipe->on_room(nullptr);
+    whole ? pipe->finish() : pipe->fail();
+  }
+
+  /// Takes the value's part from `in`; false where the connection is closed with that.
+  bool feed(std::string_view& in) {
+    std::size_t body = left_ > 2 ? std::min(in.size(), left_ - 2) : 0;
+    if (body > 0) {
+      pipe_->put(in.substr(0, body));
+      in.remove_prefix(body);
+      left_ -= body;
+    }
+    while (left_ > 0 && left_ <= 2 && !in.empty()) {
+      if (in.front() != (left_ == 2 ? '\r' : '\n')) {
+        spoilt();
+        return false;
+      }
+      in.remove_prefix(1);
+      --left_;
+    }
+    if (left_ == 0) end_pipe(true), doomed_ = false;
+    update_reading();
+    return !closed_;
+  }
+
+  /// The value's reader sets the pace. A value that nobody reads any more is read to its end where
+  /// others wait behind it, and else costs the connection.
+  void update_reading() {
+    if (closed_ || connecting_) return;
+    if (pipe_ && pipe_->abandoned() && entries_.empty()) {
+      doomed_ = true;  // by the reader's call, so not at once
+      side_.touch(*this);
+      return;
+    }
+    bool want = !pipe_ || pipe_->abandoned() || !pipe_->full();
+    if (want == reading_) return;
+    reading_ = want;
+    if (want) used_at_ = side_.clock_.now();  // its silence was ours
+    want ? event_add(read_.get(), nullptr) : event_del(read_.get());
+  }
+
   void read() {
-    ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kScratch, 0);
+    std::size_t most = kScratch;
+    if (pipe_) {
+      pipe_->set_window(side_.pipe_window());
+      most = std::min(kScratch, pipe_->window());
+    }
+    ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), most, 0);
     if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
     if (got <= 0) {
       Micros now = side_.clock_.now();
@@ -197,6 +275,10 @@
     }
     ServerCodec::Answer answer;
     while (!closed_) {
+      if (pipe_) {
+        if (!feed(in)) return;
+        if (pipe_) break;
+      }
       ServerCodec::Got what =
           codec_->take(in, sent_ > 0 ? &entries_.front().expected : nullptr, answer);
       if (what == ServerCodec::Got::Nothing) break;
@@ -212,11 +294,15 @@
       Entry done = std::move(entries_.front());
       entries_.pop_front();
       --sent_;
+      if (what == ServerCodec::Got::Begin) begin_pipe(answer);
       if (done.live)
         side_.handler_.on_attempt_end(done.id, done.attempt, answer.status,
                                       std::move(answer.result));
       else
         ++side_.counts_.late_answers;
+      answer.result.pipe.reset();
+      // Nobody wanted it: a copy had answered before.
+      if (pipe_ && pipe_.use_count() == 1) pipe_->abandon();
       if (last) {
         side_.close(*this, Status::Spoilt);
         return;
@@ -224,11 +310,11 @@
     }
     // The beginning of something that nobody asked for: it would be read as part of the next
     // answer.
-    if (sent_ == 0 && codec_->in_answer()) {
+    if (!pipe_ && sent_ == 0 && codec_->in_answer()) {
       spoilt();
       return;
     }
-    if (entries_.empty() && retiring_) side_.close(*this);
+    if (entries_.empty() && !pipe_ && retiring_) side_.close(*this);
   }
 
   void spoilt() {
@@ -248,6 +334,10 @@
   Fd fd_;
   EventPtr read_, write_;
   std::unique_ptr<ServerCodec> codec_;
+  std::shared_ptr<ValuePipe> pipe_;  // the large value that comes now
+  std::size_t left_ = 0;             // bytes of it and of its CRLF that are to come
+  bool reading_ = true;
+  bool doomed_ = false;        // to be closed in the next flush
   bool heard_ = false;         // bytes have come on it
   std::deque<Entry> entries_;  // in the order of their answers
   std::size_t sent_ = 0;       // of them, written whole
@@ -404,7 +494,7 @@
 ServerConnection* ServerSide::least_loaded(const ServerPool& pool, bool established) const {
   ServerConnection* best = nullptr;
   for (auto& c : pool.connections)
-    if (!c->retiring_ && !(established && c->connecting_) &&
+    if (!c->retiring_ && !(established && c->connecting_) && !c->pipe_ &&
         (c->entries_.empty() || c->entries_.front().live) &&
         c->entries_.size() < static_cast<std::size_t>(limits_.streams) &&
         (!best || c->entries_.size() < best->entries_.size()))
@@ -492,9 +582,12 @@
   ServerConnection::Entry e;
   e.id = id;
   e.attempt = attempt;
-  e.bytes =
+  ServerCodec::Encoded encoded =
       c->codec_->encode(request, (wait + kMillisecond - 1) / kMillisecond, ++opaque_, e.expected);
-  e.size = e.bytes.size();
+  e.bytes = std::move(encoded.bytes);
+  e.value = std::move(encoded.value);
+  e.tail = encoded.tail;
+  e.size = e.bytes.size() + (e.value ? e.value->size() + e.tail.size() : 0);
   e.since = clock_.now();
   c->idle_before_ = c->idle() ? e.since - c->used_at_ : 0;
   c->used_at_ = e.since;
@@ -549,6 +642,7 @@
     }
   }
   c.entries_.clear();
+  c.end_pipe(false);
   c.read_.reset();
   c.write_.reset();
   c.fd_.reset();
@@ -593,6 +687,12 @@
   return most;
 }
 
+std::size_t ServerSide::pipe_window() const {
+  // Each window counts twice: here and in what the client's connection has taken of it.
+  return std::clamp(limits_.pipe_bytes / 2 / std::max<std::size_t>(1, pipes_), kLeastWindow,
+                    kMostWindow);
+}
+
 Micros ServerSide::idle_limit() const {
   return static_cast<Micros>(kIdlePart * static_cast<double>(limits_.keepalive));
 }
@@ -609,6 +709,10 @@
     for (std::size_t k = pool->connections.size(); k-- > 0;) {
       ServerConnection& c = *pool->connections[k];
       if (c.connecting_) continue;
+      if (c.pipe_) {
+        if (c.reading_ && now - c.used_at_ > kPipeSilence) ++counts_.gave_up, close(c);
+        continue;
+      }
       if (c.entries_.empty()) {
         if (c.retiring_ || now - c.used_at_ > pool->idle_limit) ++counts_.closed_idle, close(c);
         continue;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -36,7 +36,8 @@
     int streams = 32;  ///< attempts on one connection
     Micros keepalive = 15 * kSecond;
     Micros dial_timeout = 75 * kMillisecond;
-    bool may_cancel = false;  ///< servers may drop what is given up
+    bool may_cancel = false;            ///< servers may drop what is given up
+    std::size_t pipe_bytes = 4u << 20;  ///< of large values on their way, all together
   };
 
   ServerSide(event_base* base, const TimeSource& clock, Handler& handler, Limits limits,
@@ -63,7 +64,8 @@
     std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
     std::uint64_t ended_idle = 0, ended_busy = 0, garbage = 0, closed_idle = 0, gave_up = 0;
     std::uint64_t late_answers = 0, made_room = 0, wrong_protocol = 0;
-    std::uint64_t written = 0;  ///< attempts, whole
+    std::uint64_t written = 0;                  ///< attempts, whole
+    std::uint64_t piped = 0, pipes_broken = 0;  ///< large values, and those that did not come whole
   };
   const Counts& counts() const { return counts_; }
 
@@ -85,6 +87,8 @@
   void set_protocol(ServerPool& pool);
   void note_binary();
   void wrong_protocol(ServerConnection& connection);
+  /// What one large value may hold of the memory, with so many on their way.
+  std::size_t pipe_window() const;
   /// How long a connection may stand idle as far as the settings tell.
   Micros idle_limit() const;
   ServerConnection* pick(ServerPool& pool);
@@ -110,6 +114,7 @@
   std::unordered_map<std::string, std::unique_ptr<ServerPool>> pools_;
   std::size_t total_ = 0;
   std::uint32_t opaque_ = 0;  // of the last attempt
+  std::size_t pipes_ = 0;     // large values on their way
   Counts counts_;
   std::vector<std::unique_ptr<ServerConnection>> closed_;
   std::vector<ServerConnection*> dirty_;
--- a/src/protocol/binary.cpp
+++ b/src/protocol/binary.cpp
@@ -206,12 +206,12 @@
 
 std::string response(Opcode opcode, std::uint16_t status, std::uint32_t opaque,
                      std::string_view value, std::string_view key, std::uint32_t flags,
-                     std::uint64_t cas) {
+                     std::uint64_t cas, std::size_t to_come) {
   std::string text;
   bool read = is_read(opcode) && status == status::kOk;
   if (!read || !tells_key(opcode)) key = {};
   store_header(text, kResponseMagic, static_cast<std::uint8_t>(opcode), key.size(),
-               read ? kGetExtras : 0, status, value.size(), opaque, cas);
+               read ? kGetExtras : 0, status, value.size() + to_come, opaque, cas);
   if (read) store(text, flags);
   text.append(key).append(value);
   return text;
--- a/src/protocol/binary.hpp
+++ b/src/protocol/binary.hpp
@@ -118,10 +118,10 @@
 std::string request(const Command& command);
 
 /// The bytes of a response. `flags` go out with a read's kOk alone, `key` where the opcode tells
-/// it.
+/// it. `to_come`: bytes of the value that follow apart from this.
 std::string response(Opcode opcode, std::uint16_t status, std::uint32_t opaque,
                      std::string_view value = {}, std::string_view key = {},
-                     std::uint32_t flags = 0, std::uint64_t cas = 0);
+                     std::uint32_t flags = 0, std::uint64_t cas = 0, std::size_t to_come = 0);
 /// One figure of a STAT answer; without name and value, its end.
 std::string stat(std::uint32_t opaque, std::string_view name, std::string_view value);
 
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -168,15 +168,16 @@
   auto length = number<std::size_t>(next_word(rest));
   // Without its length nobody can tell where the value ends; one that is too long is not waited
   // for.
-  if (!length || *length > kMaxValue) return Got::Broken;
-  value_need_ = *length + 2;
+  if (!length || *length > kMaxBulk) return Got::Broken;
+  value_need_ = value_size_ = *length + 2;
   if (!good || !parse_line(line, command)) {
     state_ = State::Skip;  // told once its value is past
     return Got::Nothing;
   }
   state_ = State::Value;
   value_ = std::make_shared<std::string>();
-  value_->reserve(std::min(value_need_, kFirstReserve));
+  // A large one is not let grow by doubling; its pages are not there before its bytes.
+  value_->reserve(value_need_ > kMaxValue ? value_need_ : std::min(value_need_, kFirstReserve));
   pending_ = std::move(command);
   return Got::Nothing;
 }
@@ -269,7 +270,7 @@
   if (verb == "VA") {
     answer.kind = Answer::Kind::Value;
     auto length = number<std::size_t>(next_word(rest));
-    if (!length || *length > kMaxValue) return false;
+    if (!length || *length > kMaxBulk) return false;
     answer.length = *length;
   } else if (verb == "HD") {
     answer.kind = Answer::Kind::Stored;
@@ -349,6 +350,7 @@
       partial_.clear();
       if (!good) return Got::Broken;
       if (answer.kind != Answer::Kind::Value) return Got::Answer;
+      if (answer.length > kMaxValue) return Got::Begin;
       need_ = answer.length + 2;
       pending_ = std::move(answer);
       pending_.value.reserve(std::min(need_, std::max(in.size(), kFirstReserve)));
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -16,7 +16,8 @@
 constexpr std::size_t kMaxLine = 4096;        ///< bytes of one line, its end included
 constexpr std::size_t kMaxKey = 250;          ///< as memcached has it
 constexpr std::size_t kMaxId = 64;            ///< ids, receipts and keys of writes have 16
-constexpr std::size_t kMaxValue = 64u << 10;  ///< bytes of one value
+constexpr std::size_t kMaxValue = 64u << 10;  ///< bytes of a value that is held as a whole
+constexpr std::size_t kMaxBulk = 4u << 20;    ///< bytes of any value
 
 /// One `mg` or `ms`. The line is kept as the client wrote it, cut open where `d` stands.
 struct Command {
@@ -48,6 +49,8 @@
   Got take(std::string_view& in, Command& command);
   /// True while the bytes of a command have come in part.
   bool in_command() const { return !partial_.empty() || state_ != State::Line; }
+  /// Bytes of the value that is being read; 0 between values.
+  std::size_t in_value() const { return state_ == State::Line ? 0 : value_size_; }
 
  private:
   enum class State { Line, Value, Skip };
@@ -59,7 +62,7 @@
   std::string partial_;
   Command pending_;
   std::shared_ptr<std::string> value_;
-  std::size_t value_need_ = 0;
+  std::size_t value_need_ = 0, value_size_ = 0;
 };
 
 /// A cache server's answer.
@@ -83,6 +86,7 @@
   enum class Got {
     Nothing,  ///< all of `in` is consumed, nothing is whole
     Answer,   ///< `answer` is whole, its value too
+    Begin,    ///< the same but for a value of over kMaxValue: that and its CRLF are the caller's
     Broken,   ///< no answer of the protocol; the connection is of no more use
   };
   Got take(std::string_view& in, Answer& answer);
--- /dev/null
+++ b/tests/operations/control_test.cpp
@@ -0,0 +1,129 @@
+// The control address of a running router: figures, bans, drains, and callers who only hold on.
+#include <nlohmann/json.hpp>
+
+#include "../loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+std::string get(const std::string& id, const std::string& key) {
+  return "mg " + key + " v O" + id + " Pc=read,t=acme,d=15000\r\n";
+}
+
+bool yes(const std::string& answer) { return answer.starts_with("HTTP/1.1 200 "); }
+
+nlohmann::json figures(const RunningRouter& router) {
+  std::string text = router.control("GET", "/-/metrics");
+  return nlohmann::json::parse(text.substr(text.find("\r\n\r\n") + 4));
+}
+
+/// Two cache servers that answer with their own names.
+struct TwoServers {
+  ServingPeer a{[](const std::string& line) { return value_answer(id_of(line), "a"); }};
+  ServingPeer b{[](const std::string& line) { return value_answer(id_of(line), "b"); }};
+  ConfigText config() const {
+    ConfigText c;
+    c.hosts = {host_json("s-a", a.address()), host_json("s-b", b.address())};
+    c.control = "127.0.0.1:0";
+    return c;
+  }
+};
+
+/// Who serves each of forty keys.
+std::string served_by(Link& client, const std::string& round) {
+  std::string by;
+  for (int k = 0; k < 40; ++k) {
+    client.write(get(round + std::to_string(k), "key" + std::to_string(k)));
+    EXPECT_EQ(client.line().substr(0, 3), "VA ");
+    by += client.line().substr(0, 1);
+  }
+  return by;
+}
+
+TEST(Control, AServerOutByHandGetsNothingUntilItIsPutBack) {
+  TwoServers servers;
+  RunningRouter router(servers.config());
+  EXPECT_TRUE(yes(router.control("GET", "/-/ready")));
+  Link client = router.client();
+  std::string before = served_by(client, "before");
+  ASSERT_NE(before.find('a'), before.npos);
+  EXPECT_TRUE(yes(router.control("PUT", "/-/cache-servers/s-a/disable")));
+  EXPECT_TRUE(yes(router.control("PUT", "/-/cache-servers/s-a/disable")));
+  EXPECT_EQ(figures(router)["hosts_down"], 1);
+  EXPECT_EQ(served_by(client, "out"), std::string(40, 'b'));
+  EXPECT_TRUE(yes(router.control("PUT", "/-/cache-servers/s-a/enable")));
+  // Cold at first: its budget lets some through.
+  std::string after;
+  for (int k = 0; after.find('a') == after.npos && k < 100; ++k)
+    after = served_by(client, "after" + std::to_string(k) + "-");
+  EXPECT_NE(after.find('a'), after.npos);
+  EXPECT_EQ(router.control("PUT", "/-/cache-servers/s-x/disable").substr(9, 3), "404");
+}
+
+TEST(Control, TheFiguresCountWhatEnded) {
+  ServingPeer server([](const std::string& line) {
+    return line.find("mg bad") == 0 ? "SERVER_ERROR failed\r\n" : value_answer(id_of(line), "v");
+  });
+  ConfigText c;
+  c.hosts = {host_json("s-1", server.address())};
+  c.control = "127.0.0.1:0";
+  RunningRouter router(c);
+  Link client = router.client();
+  for (int k = 0; k < 5; ++k) {
+    client.write(get("r" + std::to_string(k), "good"));
+    client.line(), client.line();
+  }
+  // Unkeyed, so that an error is final.
+  client.write("ms bad 1 Ow Pc=pay,t=acme,d=15000,k=7\r\nx\r\n");
+  client.line();
+  nlohmann::json f = figures(router);
+  EXPECT_EQ(f["success"]["read"], 5);
+  EXPECT_EQ(f["success"]["pay"].get<int>() + f["failure"]["pay"].get<int>(), 1);
+  EXPECT_GE(f["backend_calls"], 6);
+  EXPECT_EQ(f["inflight"], 0);
+  EXPECT_EQ(f["hosts_listed"], 1);
+}
+
+TEST(Control, CallersWhoHoldTheirConnectionsKeepNobodyOut) {
+  TwoServers servers;
+  RunningRouter router(servers.config());
+  std::vector<Link> holders;
+  for (std::size_t k = 0; k < 3 * Control::kMostConnections; ++k) {
+    holders.push_back(Link::to(router.control_port()));
+    holders.back().write("GET /-/re");
+  }
+  EXPECT_TRUE(yes(router.control("GET", "/-/ready")));
+  EXPECT_TRUE(holders.front().ends());  // the oldest made way
+}
+
+TEST(Control, ADrainedRouterSaysNoSendsItsClientsAwayServesThemMeanwhileAndComesBack) {
+  TwoServers servers;
+  RunningRouter router(servers.config());
+  Link idle = router.client(), client = router.client();
+  idle.write("mn\r\n");
+  EXPECT_EQ(idle.line(), "MN\r\n");
+  EXPECT_TRUE(yes(router.control("PUT", "/-/drain")));
+  client.write("mn\r\n");
+  EXPECT_EQ(client.line().substr(0, 12), "SERVER_ERROR");
+  client.write(get("d1", "key"));
+  EXPECT_EQ(client.line().substr(0, 3), "VA ");
+  EXPECT_FALSE(yes(router.control("GET", "/-/ready")));
+  EXPECT_TRUE(idle.ends());
+  client.line();
+  EXPECT_TRUE(client.ends());
+  Link late = router.client();  // whoever comes all the same is served, once
+  late.write(get("d2", "key"));
+  EXPECT_EQ(late.line().substr(0, 3), "VA ");
+  late.line();
+  EXPECT_TRUE(late.ends());
+  EXPECT_TRUE(yes(router.control("PUT", "/-/resume")));
+  EXPECT_TRUE(yes(router.control("GET", "/-/ready")));
+  Link again = router.client();
+  for (int k = 0; k < 2; ++k) {
+    again.write("mn\r\n");
+    EXPECT_EQ(again.line(), "MN\r\n");
+  }
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/operations/machines_test.cpp
@@ -0,0 +1,138 @@
+// What operators do by hand, without sockets: bans over lists, the bans' file, the calls' text.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "control/calls.hpp"
+#include "folder.hpp"
+#include "membership/ban_file.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+using robinseam::Health;
+using robinseam::Micros;
+
+Host host(const std::string& id, Micros born = 0, Health health = Health::Ready) {
+  Host h;
+  h.server.id = id;
+  h.server.health = health;
+  h.server.up_since = born;
+  h.dial = "127.0.0.1:1";
+  return h;
+}
+
+HostList list(std::vector<Host> hosts, bool whole = true) { return {"1", whole, std::move(hosts)}; }
+
+TEST(HandList, AServerOutByHandLeavesWhateverTheListSaysUntilItIsPutBack) {
+  HandList hand;
+  hand.take(list({host("a"), host("b")}));
+  HostList part = hand.set_bans({{"a", 100}}, 100);
+  ASSERT_EQ(part.hosts.size(), 1u);
+  EXPECT_FALSE(part.whole);
+  EXPECT_EQ(part.hosts[0].server.health, Health::Draining);
+  EXPECT_EQ(hand.take(list({host("a", 150), host("b")})).hosts[0].server.health, Health::Draining);
+  hand.take(list({host("b")}));  // gone from the list, and back on it
+  EXPECT_EQ(hand.take(list({host("a", 160)}, false)).hosts[0].server.health, Health::Draining);
+  EXPECT_TRUE(hand.set_bans({{"a", 100}}, 200).hosts.empty());  // said twice
+  EXPECT_EQ(hand.set_bans({}, 300).hosts[0].server.health, Health::Ready);
+}
+
+TEST(HandList, WhoComesBackIsColdUnlessTheListTellsOfAStartSinceTheBan) {
+  for (auto [listed, told] : {std::pair<Micros, Micros>{0, 300}, {50, 300}, {250, 250}}) {
+    HandList hand;
+    hand.take(list({host("a", listed)}));
+    hand.set_bans({{"a", 100}}, 100);
+    EXPECT_EQ(hand.set_bans({}, 300).hosts[0].server.up_since, told) << listed;
+    EXPECT_EQ(hand.take(list({host("a", listed)})).hosts[0].server.up_since, told) << listed;
+    EXPECT_EQ(hand.take(list({host("a", 280)})).hosts[0].server.up_since, 280) << listed;
+  }
+}
+
+TEST(HandList, IdsThatWereListedOnceAreKnownInABoundedNumber) {
+  HandList hand;
+  EXPECT_FALSE(hand.known("a"));
+  hand.take(list({host("a")}));
+  hand.take(list({host("a", 0, Health::Gone)}, false));
+  EXPECT_TRUE(hand.known("a"));
+  EXPECT_TRUE(hand.listed().empty());
+  for (std::size_t k = 0; k < HandList::kMostGone; ++k) {
+    std::string id = "s" + std::to_string(k);
+    hand.take(list({host(id)}));
+  }
+  hand.take(list({}));
+  EXPECT_FALSE(hand.known("a"));
+  EXPECT_TRUE(hand.known("s" + std::to_string(HandList::kMostGone - 1)));
+}
+
+TEST(BanFile, BothProcessesSeeAndKeepWhatEitherIsTold) {
+  Folder folder;
+  std::string path = folder.path() + "/bans", error;
+  BanFile old_one(path), new_one(path);
+  ASSERT_TRUE(old_one.change("a", true, 10, error)) << error;
+  auto seen = new_one.look(error);
+  ASSERT_TRUE(seen);
+  EXPECT_EQ(*seen, (Bans{{"a", 10}}));
+  EXPECT_FALSE(new_one.look(error));  // nothing new
+  ASSERT_TRUE(new_one.change("b", true, 20, error));
+  EXPECT_EQ(*old_one.change("c", true, 30, error), (Bans{{"a", 10}, {"b", 20}, {"c", 30}}));
+  EXPECT_EQ(*new_one.change("a", true, 40, error), (Bans{{"a", 10}, {"b", 20}, {"c", 30}}));
+  EXPECT_EQ(*new_one.change("a", false, 50, error), (Bans{{"b", 20}, {"c", 30}}));
+  EXPECT_EQ(*old_one.look(error), (Bans{{"b", 20}, {"c", 30}}));
+}
+
+TEST(BanFile, WhatIsNoSuchFileChangesNothingAndIsNotOverwritten) {
+  for (const char* text :
+       {"", "{", "[]", R"({"v":2,"out":{}})", R"({"v":1})", R"({"v":1,"out":3})"}) {
+    Folder folder;
+    std::string path = folder.path() + "/bans", error;
+    std::ofstream(path) << text;
+    BanFile file(path);
+    EXPECT_FALSE(file.look(error)) << text;
+    EXPECT_NE(error, "") << text;
+    EXPECT_FALSE(file.change("a", true, 1, error)) << text;
+  }
+  std::string error;
+  EXPECT_FALSE(BanFile("/no/such/folder/bans").change("a", true, 1, error));
+  EXPECT_NE(error, "");
+  EXPECT_TRUE(BanFile("").change("a", true, 1, error));  // this process's alone
+}
+
+TEST(ControlCalls, AreReadFromTheirHeads) {
+  using Got = ControlRead::Got;
+  using What = ControlCall::What;
+  const struct {
+    std::string head;
+    Got got;
+    int status;  // of Bad
+    What what;
+    std::string id;
+  } kCases[] = {
+      {"GET /-/ready HTTP/1.1\r\nHost: x", Got::Part, 0, What::Ready, ""},
+      {"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", Got::Call, 0, What::Ready, ""},
+      {"GET /-/metrics?x=1 HTTP/1.0\r\n\r\n", Got::Call, 0, What::Metrics, ""},
+      {"PUT /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\nxx", Got::Call, 0, What::Drain, ""},
+      {"PUT /-/resume HTTP/1.1\r\n\r\n", Got::Call, 0, What::Resume, ""},
+      {"PUT /-/cache-servers/s-1/disable HTTP/1.1\r\n\r\n", Got::Call, 0, What::Disable, "s-1"},
+      {"PUT /-/cache-servers/a%2Fb/enable HTTP/1.1\r\n\r\n", Got::Call, 0, What::Enable, "a/b"},
+      {"PUT /-/cache-servers/a%2/enable HTTP/1.1\r\n\r\n", Got::Bad, 400, What::Enable, ""},
+      {"PUT /-/cache-servers//enable HTTP/1.1\r\n\r\n", Got::Bad, 404, What::Enable, ""},
+      {"PUT /-/cache-servers/a/stop HTTP/1.1\r\n\r\n", Got::Bad, 404, What::Enable, ""},
+      {"GET /-/cache-servers/a/enable HTTP/1.1\r\n\r\n", Got::Bad, 405, What::Enable, ""},
+      {"GET /-/drain HTTP/1.1\r\n\r\n", Got::Bad, 405, What::Drain, ""},
+      {"GET /other HTTP/1.1\r\n\r\n", Got::Bad, 404, What::Ready, ""},
+      {"nonsense\r\n\r\n", Got::Bad, 400, What::Ready, ""},
+      {std::string(kMaxHead + 1, 'x'), Got::Bad, 431, What::Ready, ""},
+  };
+  for (const auto& c : kCases) {
+    ControlRead r = read_control_call(c.head);
+    EXPECT_EQ(r.got, c.got) << c.head;
+    EXPECT_EQ(c.got == Got::Bad ? r.status : 0, c.status) << c.head;
+    if (c.got != Got::Call) continue;
+    EXPECT_EQ(r.call.what, c.what) << c.head;
+    EXPECT_EQ(r.call.id, c.id) << c.head;
+  }
+}
+
+}  // namespace
+}  // namespace arrowfork::test
