One place opens listening sockets; a control address that can't be used is said at the start

Need: three copies of the same calls; a wrong control address showed only when it was to be listened on, and 64 descriptors with one would have left one client.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -23,14 +23,8 @@
 Control::~Control() = default;
 
 bool Control::listen(const sockaddr_in& address, std::string& error) {
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  int on = 1;
-  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-      ::listen(fd.get(), SOMAXCONN) != 0) {
-    error = std::strerror(errno);
-    return false;
-  }
+  Fd fd = listen_at(address, false, error);
+  if (!fd) return false;
   listener_ = std::move(fd);
   accept_event_.reset(event_new(base_, listener_.get(), EV_READ | EV_PERSIST, on_accept, this));
   event_add(accept_event_.get(), nullptr);
@@ -40,12 +34,7 @@
   return true;
 }
 
-std::uint16_t Control::port() const {
-  sockaddr_in address{};
-  socklen_t size = sizeof address;
-  ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
+std::uint16_t Control::port() const { return port_of(listener_); }
 
 void Control::on_accept(evutil_socket_t, short, void* self) {
   static_cast<Control*>(self)->accept_some();
--- a/src/extproc/server.cpp
+++ b/src/extproc/server.cpp
@@ -208,16 +208,10 @@
   limits_.resets_per_s = static_cast<std::uint32_t>(settings.resets_per_s);
   auto address = parse_address(settings.listen);
   if (!address) throw ConfigError("ext_proc.listen: no address: '" + settings.listen + "'");
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  int on = 1;
-  auto* raw = reinterpret_cast<sockaddr*>(&*address);
-  socklen_t size = sizeof *address;
-  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      ::bind(fd.get(), raw, size) != 0 || ::listen(fd.get(), SOMAXCONN) != 0 ||
-      ::getsockname(fd.get(), raw, &size) != 0)
-    throw ConfigError("ext_proc.listen: " + settings.listen + ": " + std::strerror(errno));
-  port_ = ntohs(address->sin_port);
-  listener_ = std::move(fd);
+  std::string error;
+  listener_ = listen_at(*address, false, error);
+  if (!listener_) throw ConfigError("ext_proc.listen: " + settings.listen + ": " + error);
+  port_ = port_of(listener_);
   accept_event_.reset(event_new(base, listener_.get(), EV_READ | EV_PERSIST, on_accept, this));
   event_add(accept_event_.get(), nullptr);
   sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
--- a/src/io/io.hpp
+++ b/src/io/io.hpp
@@ -47,6 +47,12 @@
   return {static_cast<time_t>(span / kSecond), static_cast<suseconds_t>(span % kSecond)};
 }
 
+/// A socket that listens on `address`; none with the reason in `error`. `shared`: another process
+/// may listen there too (SO_REUSEPORT).
+Fd listen_at(const sockaddr_in& address, bool shared, std::string& error);
+/// The port that a socket got.
+std::uint16_t port_of(const Fd& socket);
+
 /// The address of "1.2.3.4:5", or nothing where the text is none.
 std::optional<sockaddr_in> parse_address(const std::string& text);
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -391,15 +391,8 @@
 ClientSide::~ClientSide() = default;
 
 bool ClientSide::listen(const sockaddr_in& address, std::string& error, bool shared) {
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  int on = 1;
-  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      (shared && ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) ||
-      ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-      ::listen(fd.get(), SOMAXCONN) != 0) {
-    error = std::strerror(errno);
-    return false;
-  }
+  Fd fd = listen_at(address, shared, error);
+  if (!fd) return false;
   listen_on(std::move(fd));
   return true;
 }
@@ -410,12 +403,7 @@
   event_add(accept_event_.get(), nullptr);
 }
 
-std::uint16_t ClientSide::port() const {
-  sockaddr_in address{};
-  socklen_t size = sizeof address;
-  ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
+std::uint16_t ClientSide::port() const { return port_of(listener_); }
 
 void ClientSide::on_accept(evutil_socket_t, short, void* self) {
   static_cast<ClientSide*>(self)->accept_some(64);
@@ -557,8 +545,8 @@
 }
 
 void ClientSide::drain() {
-  // Those that could not be passed on before.
-  if (draining_ && give_)
+  // Those that could not be passed on before, or whose taker has ended meanwhile.
+  if (draining_)
     for (auto& c : connections_) touch(*c);
   if (draining_ || !listener_) return;
   if (accept_paused_) event_add(accept_event_.get(), nullptr);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
+#include "../io/io.hpp"
+
 namespace arrowfork {
 namespace {
 
@@ -282,6 +284,17 @@
   return s;
 }
 
+/// The control address takes its part of the descriptors; below this clients would have next to
+/// none.
+constexpr std::size_t kLeastSocketsWithControl = 128;
+
+void check_control(const Config& c) {
+  if (c.control.empty()) return;
+  if (!parse_address(c.control)) throw ConfigError("control: no address: '" + c.control + "'");
+  if (c.sockets < kLeastSocketsWithControl)
+    throw ConfigError("limits.sockets: under 128 with control");
+}
+
 Config config_of(const Json& json) {
   if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file holds no JSON object");
   Config c;
@@ -332,6 +345,7 @@
     if (c.ext_proc->connections + 64 > c.sockets)
       throw ConfigError("ext_proc.connections: limits.sockets leaves no room for them");
   }
+  check_control(c);
   return c;
 }
 
@@ -400,6 +414,7 @@
   if (!c.control.empty()) fill("TMPDIR", c.state_dir);
   if (c.listen.empty()) throw ConfigError("listen: missing");
   if (c.discovery.empty()) throw ConfigError("discovery: missing");
+  check_control(c);
   return c;
 }
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -50,6 +50,10 @@
   EXPECT_NE(error_of(R"({"limits":{"sockets":"x"},"settings":{}})").find("limits.sockets"),
             std::string::npos);
   EXPECT_NE(error_of(R"({"known":{"seq":1},"settings":{}})").find("known"), std::string::npos);
+  EXPECT_EQ(error_of(R"({"control":"here","settings":{}})"), "control: no address: 'here'");
+  EXPECT_NE(error_of(R"({"control":"127.0.0.1:1","limits":{"sockets":100},"settings":{}})")
+                .find("limits.sockets"),
+            std::string::npos);
   EXPECT_NE(error_of(R"({"settings":{"Limits":{"MaxAttempts":"x"}}})").find("Limits.MaxAttempts"),
             std::string::npos);
   EXPECT_NE(error_of(R"({"settings":{"Limits":{"StreamsPerConn":0}}})").find("StreamsPerConn"),
