Limits: clients' further tries are recognised without a mark and earn no retries

Each request that ends unserved leaves a ticket (class, tenant, key, time of its first try) in a table of 8,192; the next request of that name within the class's deadline takes the newest. Such a one earns no tokens; past its aim its worth is the class's late worth, and it leaves room on fetches. The errors are stated in limits/repeats.hpp: never more repeats are named than ended unserved.

--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -29,30 +29,39 @@
 };
 constexpr int kBegins = 10;  // second of the trigger
 
-/// Answered in time, requests a second, after the first 4 s.
-double goodput(double load, int seeds) {
-  double sum = 0;
+struct Goodput {
+  double in_time = 0;  ///< a second
+  double worth = 0;    ///< a second, by the classes' worth
+};
+
+/// After the first 4 s.
+Goodput goodput(double load, int seeds) {
+  Goodput sum;
   for (int seed = 1; seed <= seeds; ++seed) {
     DayPlan plan = usual_day(load);
     plan.lasts = 14 * kSecond;
     DayReport r = play(plan, static_cast<std::uint64_t>(seed));
-    for (std::size_t k = 4; k < 14; ++k) sum += r.seconds[k].in_time;
+    for (std::size_t k = 4; k < 14; ++k) {
+      sum.in_time += r.seconds[k].in_time / 10.0 / seeds;
+      sum.worth += r.seconds[k].worth / 10 / seeds;
+    }
   }
-  return sum / 10 / seeds;
+  return sum;
 }
 
 void loads(int seeds, std::ofstream& csv) {
-  std::printf("offered/capacity  in time a second  of the most\n");
-  csv << "load,in_time_per_s\n";
-  std::vector<std::pair<double, double>> points;
+  std::printf("offered/capacity  in time a second  of the most  worth a second\n");
+  csv << "load,in_time_per_s,worth_per_s\n";
+  std::vector<std::pair<double, Goodput>> points;
   double most = 0;
   for (double load : {0.25, 0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0}) {
     points.emplace_back(load, goodput(load, seeds));
-    most = std::max(most, points.back().second);
+    most = std::max(most, points.back().second.in_time);
   }
   for (auto [load, good] : points) {
-    std::printf("%16.2f %17.0f %11.0f%%\n", load, good, 100 * good / most);
-    csv << load << ',' << good << '\n';
+    std::printf("%16.2f %17.0f %11.0f%% %15.0f\n", load, good.in_time, 100 * good.in_time / most,
+                good.worth);
+    csv << load << ',' << good.in_time << ',' << good.worth << '\n';
   }
 }
 
--- a/src/emu/day.cpp
+++ b/src/emu/day.cpp
@@ -286,6 +286,8 @@
   Second& s = day_.report.seconds[static_cast<std::size_t>(second_)];
   bool in_time = served && day_.time.now() - begun_ <= aim_;
   ++(in_time ? s.in_time : served ? s.late : s.unserved);
+  const robinseam::ClassSettings& type = day_.plan.settings.classes[request_.write];
+  if (served) s.worth += in_time ? type.worth : type.late_worth;
   std::size_t banner = request_.tenant == day_.plan.settings.tenants[1].name;
   day_.report.banners[banner].served += served;
   day_.report.classes[request_.write].served += served;
--- a/src/emu/day.hpp
+++ b/src/emu/day.hpp
@@ -61,6 +61,7 @@
 struct Second {
   int asked = 0, in_time = 0, late = 0, unserved = 0;
   int tries = 0, refused = 0, attempts = 0, full = 0, timeouts = 0, errors = 0, dials = 0;
+  double worth = 0;                   ///< by the classes' worth, in time and late
   double busy = 0;                    ///< mean of the servers' cores
   std::size_t origin_queue = 0;       ///< at its end
   std::size_t in_flight = 0;          ///< attempts that routers wait for, at its end
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -30,6 +30,7 @@
 constexpr double kPartRare = 0.8;   // a key that is not asked for often
 constexpr double kPartOver = 0.3;   // beyond its banner's share
 constexpr double kPartWrite = 1.2;  // a few in a hundred; nothing else can be served for them
+constexpr double kPartLate = 0.7;   // a client's further try, too late for an answer in time
 constexpr double kPartWorth = 0.6;  // what is worth next to nothing for its work
 constexpr double kTurnedHalf = 250.0 * kMilli;
 constexpr double kTurnedGain = 0.05;
@@ -63,6 +64,7 @@
   if (weight > 0) {
     double part = ask.write ? kPartWrite : ask.wanted || ask.held ? 1 : kPartRare;
     part *= 1 - (1 - kPartOver) * ask.over_share;
+    if (ask.late) part *= kPartLate;
     in = fetches_.has_room(weight, part);
     // Out of time before it has begun: no fetch is as quick. Not by what fetches take now, which
     // would refuse all until a few had brought that down, then none.
--- a/src/limits/limits.hpp
+++ b/src/limits/limits.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "blame.hpp"
+#include "repeats.hpp"
 #include "robinseam/balancer.hpp"
 #include "window.hpp"
 
@@ -17,7 +18,8 @@
   bool held = false;    ///< some server likely holds the key
   bool wanted = false;  ///< the key came often lately
   bool write = false;
-  double value = 1;  ///< worth (for its work) as a part of what is usual
+  bool late = false;  ///< its client's first try came longer ago than an answer in time takes
+  double value = 1;   ///< worth (for its work) as a part of what is usual
   double over_share =
       0;                 ///< part of its banner's traffic that is beyond the banner's share, 0 to 1
   Micros remaining = 0;  ///< until the client gives it up
@@ -72,6 +74,7 @@
   /// How long a refused client should stay away; `chance` 0 to 1 spreads it.
   Micros come_back(Micros now, double chance) const;
 
+  Repeats& repeats() { return repeats_; }
   const Window& fetches() const { return fetches_; }
   /// Part refused lately, of keys to fetch (0) and of held ones (1).
   double refused(Micros now, bool held) const;
@@ -86,6 +89,7 @@
 
   Window fetches_;
   Blame blame_;
+  Repeats repeats_;
   std::array<double, 2> miss_share_;  // of attempts for keys to fetch, and for those held
   std::array<Turned, 2> turned_;
   double fetches_lost_ = 0;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -184,6 +184,7 @@
     std::uint64_t name = 0;  // hash of its key
     std::uint64_t seed = 0;
     Micros came = 0;
+    Micros first = 0;  // when its client's first try came, as far as known
     Micros deadline = 0;
     bool closed = false;
     bool missed = false;  // aside mode: a cache held nothing
@@ -620,8 +621,10 @@
   /// Whether the request is turned away at the door.
   bool turn_away(Open& o) {
     const ClassSettings& c = set.classes[o.cls];
-    double value = c.worth / (set.worth_by_work ? 1 : cost_of(o));
-    mean_value += (mean_value <= 0 ? 1 : 0.02) * (value - mean_value);
+    bool late = now - o.first >= c.aim;  // a further try, by now
+    double value = (late ? c.late_worth : c.worth) / (set.worth_by_work ? 1 : cost_of(o));
+    // Of requests that can still be in time: against the late ones all the others look alike.
+    if (!late) mean_value += (mean_value <= 0 ? 1 : 0.02) * (value - mean_value);
     double over = 0;
     for (std::size_t t = 0; t < set.tenants.size(); ++t) {
       if (set.tenants[t].name != o.request.tenant || set.tenants[t].quota_per_s <= 0) continue;
@@ -631,6 +634,7 @@
     o.ask = {.held = o.held,
              .wanted = o.seen >= kWantedSeen,
              .write = o.request.write,
+             .late = late,
              .value = mean_value > 0 ? value / mean_value : 1,
              .over_share = over,
              .remaining = o.request.remaining,
@@ -652,7 +656,7 @@
       double work = static_cast<double>(*o.request.work);
       mean_work += (mean_work <= 0 ? 1 : 0.02) * (work - mean_work);
     }
-    lim.earn();
+    if (o.first == o.came) lim.earn();
   }
 
   // ---- attempts ----
@@ -710,9 +714,20 @@
     out.push_back(Timer{std::max<Micros>(after, 1), id << 2 | kind});
   }
 
+  /// Requests of one client's tries have it in common.
+  std::uint64_t try_name(const Open& o) const {
+    return mix(o.name ^ hash_name(o.request.tenant) ^ static_cast<std::uint64_t>(o.cls));
+  }
+
+  /// Its client, unserved, may come again.
+  void end_unserved(Open& o) {
+    o.closed = true;
+    lim.repeats().leave(try_name(o), o.first);
+  }
+
   void finish(Open& o) {
     if (o.closed) return;
-    o.closed = true;
+    end_unserved(o);
     if (!o.attempts.empty()) ++given_up;
     // What never ran says nothing of where its key is.
     if (may_have_run(o)) note_end(o, false);
@@ -974,8 +989,9 @@
     if (m.set.classes[k].name == request.type) o.cls = static_cast<int>(k);
   o.came = m.now;
   o.deadline = m.now + std::max<Micros>(0, request.remaining);
-  m.count_arrival(o);
   o.name = hash_name(request.key);
+  o.first = m.lim.repeats().take(m.now, m.try_name(o), m.set.classes[o.cls].deadline);
+  m.count_arrival(o);
   if (!request.key.empty()) m.count_key(o);
   bool away = m.turn_away(o);
   if (away || !m.send(o)) {
@@ -1088,8 +1104,10 @@
   m.tick(now);
   auto it = m.open.find(id);
   if (it == m.open.end()) return {};
-  if (!it->second.closed) m.cancel_rest(it->second);
-  it->second.closed = true;
+  if (!it->second.closed) {
+    m.cancel_rest(it->second);
+    m.end_unserved(it->second);
+  }
   m.forget_if_done(id);
   return std::move(m.out);
 }
