Limits: silence within short tries counts, half a silent fleet is not the origin's fault

Out past the quantile now says half. 2. Losses were held against the median server; with half of them at fault that is one of them, and the window on fetches went to 1. Now against the better third. 3. A report of busy cores excused silence for good; now for 0.5 s. 4. A router whose clock jumped 10 s ahead (a paused machine) measured latencies of 10 s and refused every fetch from then on, since none was sent to correct the floor. Latencies end at the client's own time, the floor binds for 1 s.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -185,13 +186,21 @@
 using Action = std::variant<Send, Refuse, Fail, Cancel, Watch, Fetch, Timer, Probe>;
 using Actions = std::vector<Action>;
 
+namespace limits {
+class Rule;
+enum class Place { Origin, Server };
+using RuleMaker = std::function<std::unique_ptr<Rule>(Place)>;
+}  // namespace limits
+
 /// Decides for one router. Contract breaches are harmless: an outcome, end or timer for a request
 /// or server this Balancer does not know is ignored, as is a second on_request with an id still
 /// open.
 class Balancer {
  public:
-  /// Throws std::invalid_argument when `settings` cannot be used.
-  Balancer(const Settings& settings, std::uint64_t seed, Micros now);
+  /// Throws std::invalid_argument when `settings` cannot be used. `rules`: what limits attempts, in
+  /// place of the windows that service runs on; for experiments.
+  Balancer(const Settings& settings, std::uint64_t seed, Micros now,
+           const limits::RuleMaker& rules = {});
   ~Balancer();
   Balancer(Balancer&&) noexcept;
   Balancer& operator=(Balancer&&) noexcept;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -26,13 +26,14 @@
 }  // namespace
 
 Core::Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
-           Lister& lister, std::size_t max_open, std::size_t max_ids)
+           Lister& lister, std::size_t max_open, std::size_t max_ids,
+           const robinseam::limits::RuleMaker& rules)
     : clock_(clock),
       lister_(lister),
       classes_(settings.classes),
       aside_(settings.aside),
       longest_deadline_(longest_of(settings.classes)),
-      balancer_(settings, seed, clock.now()),
+      balancer_(settings, seed, clock.now(), rules),
       id_seed_(mixed(seed)),
       max_open_(max_open),
       max_ids_(max_ids) {
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -66,8 +66,10 @@
   /// Throws std::invalid_argument naming the setting that can't be used. `clock` and `lister` must
   /// outlive the core. At most `max_open` requests are open at once, and at most `max_ids` with ids
   /// of their own are taken in a span of the longest deadline.
+  /// `rules` as for the module's constructor.
   Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
-       Lister& lister, std::size_t max_open, std::size_t max_ids);
+       Lister& lister, std::size_t max_open, std::size_t max_ids,
+       const robinseam::limits::RuleMaker& rules = {});
 
   /// Call once: begins with the list as last held.
   void start(std::vector<robinseam::Server> known);
--- a/src/emu/day.cpp
+++ b/src/emu/day.cpp
@@ -1,38 +1,37 @@
 #include "day.hpp"
 
 #include <algorithm>
-#include <boost/random/exponential_distribution.hpp>
-#include <cmath>
 #include <cstdio>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 
 #include "../core/core.hpp"
+#include "../limits/connections.hpp"
 
 namespace arrowfork::emu {
 namespace {
 
-using boost::random::uniform_01;
+constexpr Micros kAbandon = kSecond;  // as the shell has it
 
-/// Ranks by Zipf's law, from a table.
-class Popularity {
+class Day;
+
+/// A router's own clock: the world's, perhaps stepped ahead, as after a pause of its machine.
+class SteppedClock final : public TimeSource {
  public:
-  Popularity(int keys, double exponent) {
-    double sum = 0;
-    for (int k = 1; k <= keys; ++k) sums_.push_back(sum += std::pow(k + 3, -exponent));
-  }
-  int draw(Random& random) const {
-    double at = uniform_01<>()(random) * sums_.back();
-    return static_cast<int>(std::lower_bound(sums_.begin(), sums_.end(), at) - sums_.begin());
-  }
+  explicit SteppedClock(const TimeSource& world) : world_(world) {}
+  Micros now() const override { return world_.now() + ahead_; }
+  void step(Micros span) { ahead_ += span; }
+  /// When the world's clock shows what this one calls `at`.
+  Micros in_world(Micros at) const { return at - ahead_; }
 
  private:
-  std::vector<double> sums_;
+  const TimeSource& world_;
+  Micros ahead_ = 0;
 };
 
-class Day;
-
 /// A router without sockets: the core, and attempts carried straight to the model.
 class ModelRouter final : public Carrier, public Lister, public SeamTap {
  public:
@@ -42,10 +41,34 @@
   /// Lets the core do what is due, and wakes it again when something will be.
   void turn();
   Core& core() { return core_; }
+  void step_clock(Micros ahead) {
+    clock_.step(ahead);
+    turn();
+  }
   std::size_t out() const { return out_.size(); }
 
  private:
   using Name = std::pair<RequestId, int>;
+  /// An attempt on a connection, until its answer has come.
+  struct Flight {
+    Name name;
+    bool live = true;  // somebody waits for it
+    std::optional<Answer> answer;
+    std::shared_ptr<bool> closed = std::make_shared<bool>(false);
+  };
+  /// Begun as they come, answered in order.
+  struct Connection {
+    std::deque<std::shared_ptr<Flight>> flights;
+    bool closed = false;
+    bool forsaken() const {
+      return std::none_of(flights.begin(), flights.end(), [](const auto& f) { return f->live; });
+    }
+  };
+  struct Pool {
+    std::vector<std::shared_ptr<Connection>> connections;
+    robinseam::limits::ConnectionBudget budget{kPoolMost};
+  };
+  static constexpr std::size_t kPoolMost = 16;
   void send(const std::string& server, RequestId id, int attempt, const Request& request,
             Micros wait) override;
   Status cancel(const std::string& server, RequestId id, int attempt) override;
@@ -57,11 +80,18 @@
 
   Day& day_;
   const int number_;
+  SteppedClock clock_;
   Core core_;
-  std::map<Name, std::shared_ptr<bool>> out_;  // whether it has been given up
-  std::map<std::string, int> idle_;            // connections that can be used again
-  std::map<std::string, Micros> gone_since_;   // by the list, as this router heard it
-  std::map<std::string, Micros> writes_;       // first send of each idempotency key
+  std::shared_ptr<Connection> pick(Pool& pool, bool& dials);
+  bool may_close(Pool& pool);
+  void close(Pool& pool, const std::shared_ptr<Connection>& c);
+  void answered(const std::string& server, const std::shared_ptr<Connection>& c);
+  void end(const Flight& flight, Status status, const Answer& answer);
+
+  std::map<Name, std::shared_ptr<Flight>> out_;
+  std::map<std::string, Pool> pools_;
+  std::map<std::string, Micros> gone_since_;  // by the list, as this router heard it
+  std::map<std::string, Micros> writes_;      // first send of each idempotency key
   Micros woken_at_ = 0;
   bool turning_ = false;
 };
@@ -104,7 +134,8 @@
   DayPlan plan;
   VirtualTime time;
   Fleet fleet;
-  Random random;
+  Demand demand;
+  Troubles troubles{fleet, demand};
   Micros begun;
   DayReport report;
   std::vector<std::unique_ptr<ModelRouter>> routers;
@@ -115,20 +146,16 @@
   void begin(const Trigger& trigger);
   void end(const Trigger& trigger);
   void tell_list();
-  std::vector<robinseam::Server> listed() const;
-  std::size_t part_of(const Trigger& trigger) const;
-
-  Popularity popularity_;
-  std::set<std::string> left_;  // servers that are not on the list
-  double load_ = 1, scan_ = 0, storm_ = 1, storm_part_ = 0;
-  std::uint64_t scanned_ = 0, receipts_ = 0;
 };
 
 // ---- routers ----
 
 ModelRouter::ModelRouter(Day& day, int number, const robinseam::Settings& settings,
                          std::uint64_t seed)
-    : day_(day), number_(number), core_(settings, seed, day.time, *this, 10'000, 100'000) {
+    : day_(day),
+      number_(number),
+      clock_(day.time),
+      core_(settings, seed, clock_, *this, 10'000, 100'000, day.plan.rules) {
   core_.set_tap(this);
 }
 
@@ -153,6 +180,7 @@
   core_.turn();
   turning_ = false;
   Micros next = core_.next_timer(), now = day_.time.now();
+  if (next) next = clock_.in_world(next);
   if (!next || (woken_at_ > now && woken_at_ <= next)) return;
   woken_at_ = std::max(next, now + 1);
   day_.time.at(woken_at_, [this, when = woken_at_] {
@@ -185,40 +213,113 @@
     if (!fresh)
       day_.report.doubled_effects += now - first->second > day_.plan.settings.classes[1].key_ttl;
   }
-  bool dial = idle_[server] == 0;
-  if (dial)
-    ++day_.second().dials;
-  else
-    --idle_[server];
-  auto given_up = std::make_shared<bool>(false);
-  out_[{id, attempt}] = given_up;
-  Micros way = day_.fleet.plan().one_way * (dial ? 3 : 1);
-  auto done = [this, id, attempt, server, given_up](const Answer& answer) {
-    if (*given_up) return;
-    out_.erase({id, attempt});
-    ++idle_[server];
-    Second& second = day_.second();
-    second.full += answer.status == Status::Full;
-    second.errors += answer.status == Status::Error;
-    AttemptResult result;
-    result.note = answer.note;
-    result.report = {answer.utilization, answer.service_ms, answer.hit_share};
-    core_.attempt_ended(id, attempt, answer.status, std::move(result));
+  Pool& pool = pools_[server];
+  bool dials = false;
+  auto c = pick(pool, dials);
+  if (!c) {  // no connection of our own: nothing was sent
+    core_.attempt_ended(id, attempt, Status::Moot, AttemptResult());
+    return;
+  }
+  day_.second().dials += dials;
+  auto flight = std::make_shared<Flight>();
+  flight->name = {id, attempt};
+  c->flights.push_back(flight);
+  out_[flight->name] = flight;
+  Micros way = day_.fleet.plan().one_way * (dials ? 3 : 1);
+  auto done = [this, server, c, flight](const Answer& answer) {
+    if (c->closed) return;
+    flight->answer = answer;
+    answered(server, c);
     turn();
   };
-  day_.time.after(way, [this, server, request, dial, given_up, done = std::move(done)] {
+  day_.time.after(way, [this, server, request, dials, flight, done = std::move(done)] {
     if (CacheModel* model = day_.fleet.find(server))
-      model->arrive(request, dial, given_up, std::move(done));
+      model->arrive(request, dials, flight->closed, std::move(done));
   });
 }
 
-/// The connection is closed with it, which is what tells the server.
-Status ModelRouter::cancel(const std::string&, RequestId id, int attempt) {
+/// As the shell has it: an idle one, a new one, one that nobody waits on in exchange for a new one,
+/// else behind the fewest.
+std::shared_ptr<ModelRouter::Connection> ModelRouter::pick(Pool& pool, bool& dials) {
+  std::shared_ptr<Connection> spare, least;
+  for (auto& c : pool.connections) {
+    if (c->flights.empty()) return c;
+    if (c->forsaken()) spare = c;
+    if (c->flights.front()->live && (!least || c->flights.size() < least->flights.size()))
+      least = c;
+  }
+  if (pool.connections.size() >= kPoolMost && spare && may_close(pool)) close(pool, spare);
+  if (pool.connections.size() >= kPoolMost) return least;
+  dials = true;
+  return pool.connections.emplace_back(std::make_shared<Connection>());
+}
+
+bool ModelRouter::may_close(Pool& pool) {
+  switch (day_.plan.given_up) {
+    case GivenUp::Closes:
+      return true;
+    case GivenUp::Drains:
+      return false;
+    case GivenUp::Budget:
+      break;
+  }
+  return pool.budget.may_close(day_.time.now());
+}
+
+void ModelRouter::close(Pool& pool, const std::shared_ptr<Connection>& c) {
+  c->closed = true;
+  std::erase(pool.connections, c);
+  for (auto& f : c->flights) {
+    *f->closed = true;
+    if (f->live) end(*f, Status::Reset, {});
+  }
+  c->flights.clear();
+}
+
+void ModelRouter::answered(const std::string& server, const std::shared_ptr<Connection>& c) {
+  while (!c->flights.empty() && c->flights.front()->answer) {
+    auto flight = std::move(c->flights.front());
+    c->flights.pop_front();
+    pools_[server].budget.answered();
+    if (flight->live) end(*flight, flight->answer->status, *flight->answer);
+  }
+}
+
+void ModelRouter::end(const Flight& flight, Status status, const Answer& answer) {
+  out_.erase(flight.name);
+  Second& second = day_.second();
+  second.full += status == Status::Full;
+  second.errors += status == Status::Error;
+  AttemptResult result;
+  result.note = answer.note;
+  if (status != Status::Reset)
+    result.report = {answer.utilization, answer.service_ms, answer.hit_share};
+  core_.attempt_ended(flight.name.first, flight.name.second, status, std::move(result));
+}
+
+Status ModelRouter::cancel(const std::string& server, RequestId id, int attempt) {
   ++day_.second().timeouts;
   auto it = out_.find({id, attempt});
   if (it == out_.end()) return Status::Cancelled;
-  *it->second = true;
+  auto flight = it->second;
   out_.erase(it);
+  flight->live = false;
+  Pool& pool = pools_[server];
+  auto at = std::find_if(pool.connections.begin(), pool.connections.end(), [&](const auto& c) {
+    return std::find(c->flights.begin(), c->flights.end(), flight) != c->flights.end();
+  });
+  if (at == pool.connections.end()) return Status::Cancelled;
+  auto c = *at;
+  if (c->forsaken() && may_close(pool)) {
+    close(pool, c);
+    return Status::Cancelled;
+  }
+  // Its answer is waited for, then the machine is taken for silent.
+  day_.time.after(kAbandon, [this, server, c, flight] {
+    if (c->closed || flight->answer) return;
+    close(pools_[server], c);
+    turn();
+  });
   return Status::Cancelled;
 }
 
@@ -299,9 +400,8 @@
 Day::Day(const DayPlan& plan, std::uint64_t seed)
     : plan(plan),
       fleet(time, this->plan.fleet, seed * 2 + 1),
-      random(seed * 2),
-      begun(time.now()),
-      popularity_(plan.tills.keys, plan.tills.zipf) {
+      demand(plan.tills, plan.fleet, this->plan.settings, plan.routers, seed * 2),
+      begun(time.now()) {
   report.seconds.resize(static_cast<std::size_t>(plan.lasts / kSecond));
   robinseam::Settings settings = plan.settings;
   settings.routers = plan.routers;
@@ -310,119 +410,41 @@
         std::make_unique<ModelRouter>(*this, k, settings, seed * 1000 + static_cast<unsigned>(k)));
 }
 
-std::vector<robinseam::Server> Day::listed() const {
-  std::vector<robinseam::Server> all;
-  for (const auto& server : const_cast<Fleet&>(fleet).servers())
-    if (!left_.count(server->id())) all.push_back(fleet.listed(*server));
-  return all;
-}
-
 void Day::tell_list() {
-  time.after(plan.list_delay, [this, list = listed()] {
+  time.after(plan.list_delay, [this, list = troubles.listed()] {
     for (auto& router : routers) router->list(list);
   });
 }
 
-std::size_t Day::part_of(const Trigger& t) const {
-  return static_cast<std::size_t>(std::lround(t.part * plan.fleet.servers));
-}
-
 void Day::begin(const Trigger& t) {
-  using Kind = Trigger::Kind;
-  auto& servers = fleet.servers();
-  for (std::size_t k = 0; k < part_of(t); ++k) {
-    CacheModel& s = *servers[k];
-    switch (t.kind) {
-      case Kind::Slow:
-        s.set_trouble(Trouble::Slow, t.factor);
-        break;
-      case Kind::Full:
-        s.set_trouble(Trouble::Full);
-        break;
-      case Kind::Silent:
-        s.set_trouble(Trouble::Silent);
-        break;
-      case Kind::Failing:
-        s.set_trouble(Trouble::Failing);
-        break;
-      case Kind::ColdRestart:
-        s.restart(t.factor, 8 * kSecond);
-        break;
-      case Kind::Misses:
-        s.restart(1, 0);
-        break;
-      case Kind::Shrink:
-        s.set_trouble(Trouble::Silent), left_.insert(s.id());
-        break;
-      default:
-        break;
-    }
-  }
-  if (t.kind == Kind::OriginSlow) fleet.origin().set_slowdown(t.factor);
-  if (t.kind == Kind::Load) load_ = t.factor;
-  if (t.kind == Kind::Scan) scan_ = t.factor;
-  if (t.kind == Kind::Storm) storm_ = t.factor, storm_part_ = t.part;
-  if (t.kind == Kind::Shrink || t.kind == Kind::ColdRestart) tell_list();
+  if (troubles.begin(t)) tell_list();
+  if (t.kind != Trigger::Kind::ClockStep) return;
+  for (std::size_t k = 0; k < routers.size(); ++k)
+    if (static_cast<double>(k) < t.part * plan.routers)
+      routers[k]->step_clock(static_cast<Micros>(t.factor * 1e6));
 }
 
 void Day::end(const Trigger& t) {
-  using Kind = Trigger::Kind;
-  auto& servers = fleet.servers();
-  for (std::size_t k = 0; k < part_of(t); ++k) {
-    servers[k]->set_trouble(Trouble::None);
-    if (t.kind != Kind::Shrink) continue;
-    servers[k]->restart(0.3, 8 * kSecond);
-    left_.erase(servers[k]->id());
-  }
-  if (t.kind == Kind::OriginSlow) fleet.origin().set_slowdown(1);
-  if (t.kind == Kind::Load) load_ = 1;
-  if (t.kind == Kind::Scan) scan_ = 0;
-  if (t.kind == Kind::Storm) storm_ = 1, storm_part_ = 0;
-  if (t.kind == Kind::Shrink) tell_list();
+  if (troubles.end(t)) tell_list();
 }
 
 void Day::next_arrival() {
-  double stormy = storm_part_ * storm_ + (1 - storm_part_);
-  double rate = plan.tills.rate * load_ * stormy;
-  Micros gap = static_cast<Micros>(boost::random::exponential_distribution<>(rate)(random) * 1e6);
-  time.after(std::max<Micros>(gap, 1), [this] {
+  time.after(demand.next_gap(), [this] {
     arrive();
     next_arrival();
   });
 }
 
 void Day::arrive() {
-  auto draw = [this] { return uniform_01<>()(random); };
   auto number = static_cast<std::size_t>((time.now() - begun) / kSecond);
   if (number >= report.seconds.size()) return;
-  Request r;
-  r.write = draw() < plan.tills.writes;
-  r.key = "k" + std::to_string(popularity_.draw(random));
-  if (!r.write && draw() < scan_) r.key = "once" + std::to_string(scanned_++);
+  Demand::First first = demand.draw();
+  Request& r = first.request;
   const robinseam::ClassSettings& type = plan.settings.classes[r.write];
-  r.type = type.name;
-  std::size_t banner = draw() < plan.tills.second_share;
-  r.tenant = plan.settings.tenants[banner].name;
-  if (r.write) {
-    r.idempotency = std::to_string(++receipts_);
-    r.value = std::make_shared<const std::string>("sold");
-  }
-  Micros mean = r.write ? plan.fleet.write_work : plan.fleet.read_work;
-  r.work = std::max<Micros>(
-      1, static_cast<Micros>(static_cast<double>(mean) * spread(random, plan.fleet.work_cv)));
-  // Storming routers get their tills' multiple of the share.
-  double in_storm = storm_part_ * storm_ / (storm_part_ * storm_ + (1 - storm_part_));
-  int stormy = static_cast<int>(std::lround(storm_part_ * plan.routers));
-  int router = 0;
-  if (stormy > 0 && draw() < in_storm)
-    router = static_cast<int>(draw() * stormy);
-  else
-    router = stormy + static_cast<int>(draw() * (plan.routers - stormy));
-  router = std::min(router, plan.routers - 1);
   ++report.seconds[number].asked;
-  ++report.banners[banner].asked;
+  ++report.banners[static_cast<std::size_t>(first.banner)].asked;
   ++report.classes[r.write].asked;
-  std::make_shared<Till>(*this, static_cast<int>(number), router, std::move(r), type.aim,
+  std::make_shared<Till>(*this, static_cast<int>(number), first.router, std::move(r), type.aim,
                          type.deadline)
       ->ask();
 }
@@ -433,7 +455,7 @@
       for (int k = static_cast<int>(std::min<std::size_t>(plan.fleet.keeps, plan.tills.keys));
            k-- > 0;)
         server->hold("k" + std::to_string(k));
-  for (auto& router : routers) router->start(listed());
+  for (auto& router : routers) router->start(troubles.listed());
   for (const Trigger& t : plan.triggers) {
     time.at(begun + t.from, [this, t] { begin(t); });
     time.at(begun + t.from + t.lasts, [this, t] { end(t); });
@@ -496,6 +518,19 @@
   return plan;
 }
 
+DayPlan scaled_day(double capacity_share, int servers, int cores) {
+  DayPlan plan = usual_day(capacity_share);
+  FleetPlan& fleet = plan.fleet;
+  double scale = static_cast<double>(servers * cores) / (fleet.servers * fleet.cores);
+  fleet.waiting = fleet.waiting * cores / fleet.cores;
+  fleet.servers = servers;
+  fleet.cores = cores;
+  fleet.origin_work = static_cast<Micros>(static_cast<double>(fleet.origin_work) / scale);
+  plan.tills.rate *= scale;
+  for (auto& t : plan.settings.tenants) t.quota_per_s *= scale;
+  return plan;
+}
+
 double DayReport::served(int from, int to) const {
   int asked = 0, got = 0;
   for (int k = from; k < to && k < static_cast<int>(seconds.size()); ++k) {
@@ -505,6 +540,13 @@
   return asked == 0 ? 1 : static_cast<double>(got) / asked;
 }
 
+int DayReport::back(int end, double part) const {
+  constexpr int kSpan = 3;
+  for (int k = end; k + kSpan <= static_cast<int>(seconds.size()); ++k)
+    if (served(k, k + kSpan) >= part) return k - end;
+  return -1;
+}
+
 DayReport play(const DayPlan& plan, std::uint64_t seed) { return Day(plan, seed).run(); }
 
 std::string table(const DayReport& report) {
--- a/src/emu/day.hpp
+++ b/src/emu/day.hpp
@@ -6,41 +6,15 @@
 #include <string>
 #include <vector>
 
-#include "fleet.hpp"
+#include "demand.hpp"
 
 namespace arrowfork::emu {
 
-/// Something goes wrong from `from` for `lasts`, then is well again.
-struct Trigger {
-  enum class Kind {
-    Slow,         ///< servers, by `factor`
-    Full,         ///< servers turn everything away
-    Silent,       ///< servers take and never answer
-    Failing,      ///< servers answer with errors at once
-    OriginSlow,   ///< the origin, by `factor`
-    ColdRestart,  ///< servers lose what they hold and start at `factor` of their speed
-    Shrink,       ///< servers leave and come back cold
-    Load,         ///< tills ask `factor` times as often
-    Scan,         ///< `factor` of the reads ask for keys that are asked for once
-    Misses,       ///< every server forgets all it holds, once
-    Storm,        ///< the part's tills alone ask `factor` times as often: `part` of the routers
-  };
-  Kind kind;
-  Micros from = 0, lasts = 0;  ///< since the day's begin
-  double part = 1;             ///< of the servers (of the routers, for Storm)
-  double factor = 1;
-};
-
-struct TillPlan {
-  double rate = 0;            ///< first tries a second, over all routers
-  int tries = 5;              ///< the first one among them
-  double try_share = 0.4;     ///< a try is given up after this part of the class's deadline
-  Micros pause = 0;           ///< before a further try; the wait that a refusal names is ignored...
-  bool honours_wait = false;  ///< ...unless this is set
-  int keys = 3'000;
-  double zipf = 1.0;
-  double writes = 0.05;        ///< part of the requests
-  double second_share = 0.44;  ///< part of the second banner
+/// What giving an attempt up does with its connection where nobody else waits on it.
+enum class GivenUp {
+  Closes,  ///< it is closed, each time
+  Drains,  ///< its answer is read and dropped, and the connection used again
+  Budget,  ///< closed as far as answers pay for it (limits/connections.hpp), else drained
 };
 
 struct DayPlan {
@@ -52,10 +26,15 @@
   Micros list_delay = kSecond;   ///< until a router hears of a restart or a server that left
   bool warm = true;              ///< servers hold what tills ask for most at the begin
   robinseam::Settings settings;  ///< classes: first reads, second writes; tenants: two
+  GivenUp given_up = GivenUp::Budget;
+  robinseam::limits::RuleMaker rules;  ///< in place of the windows; empty: windows
 };
 
 /// A site like the one in service; `capacity_share` of the fleet's cores is what the tills ask for.
 DayPlan usual_day(double capacity_share);
+/// The same with another number of servers and cores; waiting rooms, quotas and the origin go with
+/// the cores.
+DayPlan scaled_day(double capacity_share, int servers, int cores);
 
 /// What came of the first tries of one second, and what that second cost.
 struct Second {
@@ -82,6 +61,8 @@
   std::uint64_t fingerprint = 0;  ///< of every decision, in order
   /// Parts of the first tries of [from, to) seconds that were answered.
   double served(int from, int to) const;
+  /// Seconds from second `end` until 3 s begin in which `part` of them are answered; -1: never.
+  int back(int end, double part) const;
 };
 
 DayReport play(const DayPlan& plan, std::uint64_t seed);
--- a/src/emu/fleet.cpp
+++ b/src/emu/fleet.cpp
@@ -70,7 +70,8 @@
   ++arrived_;
   if (trouble_ == Trouble::Silent) return;
   if (trouble_ == Trouble::Full) return answer(done, {Status::Full, 0, 0, 0, 0});
-  if (trouble_ == Trouble::Failing) return answer(done, {Status::Error, 0, 0, 0, 0});
+  if (trouble_ == Trouble::Failing || (trouble_ == Trouble::WritesFail && request.write))
+    return answer(done, {Status::Error, 0, 0, 0, 0});
   const FleetPlan& plan = fleet_.plan();
   Micros mean = request.write ? plan.write_work : plan.read_work;
   double work = request.work ? static_cast<double>(*request.work) : static_cast<double>(mean);
--- a/src/emu/fleet.hpp
+++ b/src/emu/fleet.hpp
@@ -44,7 +44,7 @@
 };
 
 /// What a server or the origin is suffering from now.
-enum class Trouble { None, Slow, Full, Silent, Failing };
+enum class Trouble { None, Slow, Full, Silent, Failing, WritesFail };
 
 struct Answer {
   Status status = Status::Ok;
@@ -145,6 +145,7 @@
   Fleet(VirtualTime& time, const FleetPlan& plan, std::uint64_t seed);
   CacheModel* find(const std::string& id);
   std::vector<std::unique_ptr<CacheModel>>& servers() { return servers_; }
+  const std::vector<std::unique_ptr<CacheModel>>& servers() const { return servers_; }
   Origin& origin() { return origin_; }
   VirtualTime& time() { return time_; }
   Random& random() { return random_; }
--- a/src/limits/blame.cpp
+++ b/src/limits/blame.cpp
@@ -41,7 +41,7 @@
     if (Seen s = lately(now, k); s.count >= kFewFetches) shares.push_back(s.lost / s.count);
   Seen own = lately(now, server);
   if (shares.size() < kFewServers || own.lost <= kMostly * own.count) return 1;
-  auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 2);
+  auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 3);
   std::nth_element(shares.begin(), middle, shares.end());
   return std::min(1.0, kSpread * *middle * own.count / own.lost);
 }
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -25,6 +25,7 @@
 constexpr double kMissUntold = 0.02;  // of one that was never answered
 constexpr double kHeldMisses = 0.05;  // presumed
 constexpr double kLostGain = 0.05;    // of one fetch in the part lost
+constexpr Micros kFloorHolds = kMilli * 1000;
 constexpr double kFetchLeast = 0.15;  // a smaller weight isn't worth an account
 // Which part of the window each kind may fill: what earns less leaves room for what earns more.
 constexpr double kPartRare = 0.8;   // a key that is not asked for often
@@ -39,15 +40,24 @@
 // and up to the most by the part that is refused.
 constexpr Micros kComeBack = 50 * kMilli;
 
+std::unique_ptr<Rule> made(const RuleMaker& maker, Place place, const WindowRules& usual) {
+  return maker ? maker(place) : std::make_unique<Window>(usual);
+}
+
 }  // namespace
 
-Limits::Limits(const Settings& settings)
-    : fetches_(kFetchRules),
+Limits::Limits(const Settings& settings, RuleMaker maker)
+    : maker_(std::move(maker)),
+      fetches_(made(maker_, Place::Origin, kFetchRules)),
       miss_share_{1, kHeldMisses},
       retry_tokens_(kRetryCap / 2),
       copy_tokens_(kCopyCap / 2),
       max_wait_(settings.max_retry_after) {}
 
+std::unique_ptr<Rule> Limits::server_rule() const {
+  return made(maker_, Place::Server, kServerRules);
+}
+
 double Limits::fetch_weight(const Ask& ask) const {
   double weight = ask.write ? 1 : miss_share_[ask.held];
   return weight < kFetchLeast ? 0 : weight;
@@ -60,15 +70,17 @@
 
 bool Limits::admits(Micros now, const Ask& ask) {
   double weight = fetch_weight(ask);
-  bool in = true;
-  if (weight > 0) {
+  bool in = fetches_->door(now, ask);
+  if (in && weight > 0) {
     double part = ask.write ? kPartWrite : ask.wanted || ask.held ? 1 : kPartRare;
     part *= 1 - (1 - kPartOver) * ask.over_share;
     if (ask.late) part *= kPartLate;
-    in = fetches_.has_room(weight, part);
+    in = fetches_->has_room(weight, part);
     // Out of time before it has begun: no fetch is as quick. Not by what fetches take now, which
     // would refuse all until a few had brought that down, then none.
-    in &= static_cast<double>(ask.remaining) >= fetches_.floor() / 2;
+    // And only while fetches end: a floor that none comes to correct would shut the door for good.
+    in &= now - fetch_ended_at_ > kFloorHolds ||
+          static_cast<double>(ask.remaining) >= fetches_->floor() / 2;
   }
   note_turned(now, ask.held, !in);
   return in;
@@ -76,6 +88,7 @@
 
 void Limits::ended(Micros now, Micros sent_at, std::size_t server, double weight, Evidence evidence,
                    bool at_fault, Micros latency, int note, const Ask& ask) {
+  fetches_->seen(now, ask, evidence, latency);
   if (!ask.write) {
     double& share = miss_share_[ask.held];
     if (evidence == Evidence::Good && note > 0)
@@ -85,6 +98,7 @@
   }
   // A hit says nothing of the origin, but that it was not asked.
   if (evidence == Evidence::Good && note == 1) evidence = Evidence::None;
+  if (weight > 0 && evidence != Evidence::None) fetch_ended_at_ = now;
   double blame = 1;
   if (evidence != Evidence::None && weight > 0) {
     blame_.note(now, server, evidence == Evidence::Bad);
@@ -93,8 +107,8 @@
   }
   if (evidence == Evidence::Bad && at_fault) evidence = Evidence::None;
   // The servers' own queues are part of a fetch's latency, so not each above the aim is a signal.
-  fetches_.ended(now, sent_at, weight, evidence, static_cast<double>(latency),
-                 2 * static_cast<double>(ask.aim), blame);
+  fetches_->ended(now, sent_at, weight, evidence, static_cast<double>(latency),
+                  2 * static_cast<double>(ask.aim), blame);
 }
 
 void Limits::earn() {
--- a/src/limits/limits.hpp
+++ b/src/limits/limits.hpp
@@ -3,8 +3,7 @@
 #pragma once
 
 #include <array>
-#include <cstdint>
-#include <unordered_map>
+#include <memory>
 
 #include "blame.hpp"
 #include "repeats.hpp"
@@ -13,19 +12,6 @@
 
 namespace robinseam::limits {
 
-/// What admission looks at.
-struct Ask {
-  bool held = false;    ///< some server likely holds the key
-  bool wanted = false;  ///< the key came often lately
-  bool write = false;
-  bool late = false;  ///< its client's first try came longer ago than an answer in time takes
-  double value = 1;   ///< worth (for its work) as a part of what is usual
-  double over_share =
-      0;                 ///< part of its banner's traffic that is beyond the banner's share, 0 to 1
-  Micros remaining = 0;  ///< until the client gives it up
-  Micros aim = 0;        ///< an answer within it is in time
-};
-
 /// Of one server's own queue: latencies go by the request's cost, refusals as full are signals.
 inline constexpr WindowRules kServerRules{.least = 3, .start = 128};
 
@@ -38,7 +24,10 @@
 
 class Limits {
  public:
-  explicit Limits(const Settings& settings);
+  /// `maker`: rules in place of the windows; empty: windows.
+  Limits(const Settings& settings, RuleMaker maker);
+  /// The rule of one server.
+  std::unique_ptr<Rule> server_rule() const;
 
   /// Whether the request may go out now. Counts what it refuses.
   bool admits(Micros now, const Ask& ask);
@@ -51,11 +40,11 @@
   double part(const Ask& ask) const;
   /// Whether an attempt at a server that is not the key's own has room: what is left of the window
   /// is for keys that nobody holds.
-  bool may_spill(const Ask& ask) const { return fetches_.has_room(spill_weight(ask), kSpillPart); }
+  bool may_spill(const Ask& ask) const { return fetches_->has_room(spill_weight(ask), kSpillPart); }
   /// Whether a further attempt or copy of an admitted request has room.
-  bool has_room(double fetch_weight) const { return fetches_.has_room(fetch_weight); }
+  bool has_room(double fetch_weight) const { return fetches_->has_room(fetch_weight); }
 
-  void sent(Micros now, double fetch_weight) { fetches_.sent(now, fetch_weight); }
+  void sent(Micros now, double fetch_weight) { fetches_->sent(now, fetch_weight); }
   /// At the server of that index. `note` as Outcome::note. `at_fault`: what single servers do and
   /// others don't, which tells nothing of the origin.
   void ended(Micros now, Micros sent_at, std::size_t server, double fetch_weight, Evidence evidence,
@@ -75,7 +64,7 @@
   Micros come_back(Micros now, double chance) const;
 
   Repeats& repeats() { return repeats_; }
-  const Window& fetches() const { return fetches_; }
+  const Rule& fetches() const { return *fetches_; }
   /// Part refused lately, of keys to fetch (0) and of held ones (1).
   double refused(Micros now, bool held) const;
 
@@ -87,13 +76,15 @@
   };
   void note_turned(Micros now, bool held, bool refused);
 
-  Window fetches_;
+  RuleMaker maker_;
+  std::unique_ptr<Rule> fetches_;
   Blame blame_;
   Repeats repeats_;
   std::array<double, 2> miss_share_;  // of attempts for keys to fetch, and for those held
   std::array<Turned, 2> turned_;
   double fetches_lost_ = 0;
   Micros refused_at_ = -1;
+  Micros fetch_ended_at_ = 0;
   double retry_tokens_, copy_tokens_;
   Micros max_wait_;
 };
--- a/src/limits/window.hpp
+++ b/src/limits/window.hpp
@@ -10,17 +10,10 @@
 // load that needs less than that at once, and recovery needs no sample to come by first.
 #pragma once
 
-#include "robinseam/balancer.hpp"
+#include "rule.hpp"
 
 namespace robinseam::limits {
 
-/// What the end of an attempt says of the load where it went.
-enum class Evidence {
-  None,  ///< nothing: broken, spoilt, given up by the client, a server's own fault
-  Good,  ///< served; its latency tells more
-  Bad,   ///< turned away as full, failed by overload, or out of time while out
-};
-
 struct WindowRules {
   double least = 2;  ///< attempts that may always be out, at least 1
   /// Before anything is known, and again some seconds after the last signal: a burst over idle
@@ -33,29 +26,22 @@
   double signals = 3;    ///< signals, less half of the good ends, that make a cut
 };
 
-class Window {
+class Window final : public Rule {
  public:
   explicit Window(const WindowRules& rules) : rules_(rules), limit_(rules.start) {}
 
-  /// Whether `weight` more may go out; `part` of the limit is open to this one, 0 to 1.
-  bool has_room(double weight, double part = 1) const;
-  void sent(Micros now, double weight) {
+  bool has_room(double weight, double part = 1) const override;
+  void sent(Micros now, double weight) override {
     relax(now);
     out_ += weight;
   }
-  /// The attempt is out no more. `latency` counts with Good; it may be scaled by the request's
-  /// cost. `fine`: latencies up to this one are never a signal (0: none). `blame`: the part of a
-  /// loss that tells of what is limited here, 0 to 1.
   void ended(Micros now, Micros sent_at, double weight, Evidence evidence, double latency,
-             double fine, double blame = 1);
-
-  /// Forgets what was learnt, as where another process has taken the place; what is out stays so.
-  void reset();
+             double fine, double blame = 1) override;
+  void reset() override;
 
-  double limit() const { return limit_; }
-  double out() const { return out_; }
-  /// What latency is without queueing, as far as known; 0: not known.
-  double floor() const { return floor_; }
+  double limit() const override { return limit_; }
+  double out() const override { return out_; }
+  double floor() const override { return floor_; }
   /// Mean of the latencies lately, those of lost attempts as lower bounds.
   double latency() const { return latency_; }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -70,7 +70,8 @@
 // Full refusals and silence are a fault only over idle cores: else those who bear the outliers'
 // part would be taken for outliers in turn, until all keys went to the last few servers.
 constexpr double kBusyUtil = 0.75;
-constexpr double kSlowAlpha = 0.25;  // weight of one latency in a server's mean log ratio
+constexpr Micros kUtilHolds = kSecond / 2;  // a report; what fell silent while busy tells no more
+constexpr double kSlowAlpha = 0.25;         // weight of one latency in a server's mean log ratio
 constexpr double kSlowHalf = 8.0 * kSecond;
 constexpr double kSlowFrom = 1.8;    // latency ratio from which a server counts as slow
 constexpr double kLiveFloor = 0.06;  // a slow server keeps this part, so that it is still seen
@@ -165,7 +166,7 @@
     Micros report_at = 0;
     double cold_tokens = 0;
     Micros cold_at = 0;
-    limits::Window window{limits::kServerRules};  // attempts out, whatever they are
+    std::unique_ptr<limits::Rule> window;  // attempts out, whatever they are
   };
   enum class Ran { Out, Maybe, Never };
   struct Attempt {
@@ -197,7 +198,8 @@
     double seen = 0;
   };
 
-  explicit Impl(const Settings& settings) : set(settings), lim(settings) {}
+  Impl(const Settings& settings, const limits::RuleMaker& rules)
+      : set(settings), lim(settings, rules) {}
 
   Settings set;
   std::uint64_t rng;
@@ -465,7 +467,7 @@
       if (!may_send(o, i) || tried(o, i)) continue;
       if (keep_near && s.listed.zone != set.zone && depth_of(mix(seed)) < near_pull) continue;
       if (!cold_has_room(s, cost)) continue;
-      bool room = s.window.has_room(1, part);
+      bool room = s.window->has_room(1, part);
       if (!room || at_limit(s)) {
         if (room && fallback.server < 0) fallback = {i, seed, fetch};
         if (++passed > kMaxOverflow) return fallback;
@@ -495,6 +497,11 @@
     return std::clamp(1 - excess(s) / (kOutlierFull - kOutlierFrom), 0.0, 1.0);
   }
 
+  /// Its cores are, by what it said lately.
+  bool busy(const ServerState& s) const {
+    return s.util >= kBusyUtil && now - s.report_at < kUtilHolds;
+  }
+
   void note_bad(ServerState& s, bool bad, double own = 1) {
     s.bad_share = bad_share(s);
     s.bad_at = now;
@@ -548,7 +555,7 @@
   /// An attempt is out far longer than usual.
   void note_stall(Attempt& a, double weight) {
     ServerState& s = servers[a.server];
-    if (!a.stalled && s.util < kBusyUtil) note_bad(s, true, own_part(a));
+    if (!a.stalled && !busy(s)) note_bad(s, true, weight * own_part(a));
     a.stalled = true;
     if (!outlier(s)) follow(late, true);
     note_failure(s, weight * own_part(a), late);
@@ -631,7 +638,8 @@
       double quota = set.tenants[t].quota_per_s / std::max(1, set.routers);
       over = std::max(0.0, 1 - quota * kRateSpan / std::max(1e-9, tenant_rate[t] * rate_fade()));
     }
-    o.ask = {.held = o.held,
+    o.ask = {.name = try_name(o),
+             .held = o.held,
              .wanted = o.seen >= kWantedSeen,
              .write = o.request.write,
              .late = late,
@@ -804,7 +812,7 @@
     ServerState& s = servers[server];
     o.attempts.push_back({server, now});
     o.attempts.back().fetch = fetch;
-    s.window.sent(now, 1);
+    s.window->sent(now, 1);
     lim.sent(now, o.attempts.back().fetch);
     ++s.in_flight, ++s.kept, ++total_in_flight;
     fade_rates();
@@ -829,9 +837,9 @@
     bool broken = why == Status::ConnectFailed || why == Status::Reset || why == Status::Spoilt;
     const ServerState& last = servers[o.attempts.back().server];
     broken |= outlier(last);  // the fault is that server's alone
-    limits::Cause cause = broken                ? limits::Cause::Broken
-                          : why == Status::Full ? limits::Cause::Unseen
-                                                : limits::Cause::Load;
+    limits::Cause cause = broken                                       ? limits::Cause::Broken
+                          : why == Status::Full || why == Status::Moot ? limits::Cause::Unseen
+                                                                       : limits::Cause::Load;
     bool time_left = o.deadline - now > 2 * set.tick;
     if (why == Status::Miss && is_origin(last)) return finish(o);  // nobody else has it either
     if (why == Status::Miss && time_left && send(o)) return;       // no failure: no tokens
@@ -864,6 +872,7 @@
       if (e.health == Health::Gone) return;
       if (vacant.empty())
         vacant.push_back(static_cast<int>(servers.size())), servers.emplace_back();
+      servers[vacant.back()].window = lim.server_rule();
       it = index.emplace(e.id, vacant.back()).first;
       vacant.pop_back();
     }
@@ -879,7 +888,7 @@
       s.doubt = 0, s.strikes = 0, s.dead_until = 0, s.returned_at = 0;
       s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0, s.bad_share = 0;
       s.cold_tokens = random(), s.cold_at = now;
-      s.window.reset();
+      s.window->reset();
     }
   }
 
@@ -936,8 +945,9 @@
   }
 };
 
-Balancer::Balancer(const Settings& settings, std::uint64_t seed, Micros now)
-    : impl_(std::make_unique<Impl>(settings)) {
+Balancer::Balancer(const Settings& settings, std::uint64_t seed, Micros now,
+                   const limits::RuleMaker& rules)
+    : impl_(std::make_unique<Impl>(settings, rules)) {
   Impl& m = *impl_;
   m.check_settings();
   m.rng = mix(seed);
@@ -1042,16 +1052,18 @@
     m.note_stall(a, 1);
   else if (r.status != Status::Cancelled && r.status != Status::Moot && !a.stalled)
     m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss, m.own_part(a));
+  // Longer than its client waited is no measurement, but a clock that was stepped or stood still.
+  Micros latency = std::min(r.latency, std::max<Micros>(o.request.remaining, m.set.tick));
   limits::Evidence load = m.evidence(a, r.status);
   m.lim.ended(m.now, a.sent, static_cast<std::size_t>(a.server), a.fetch, load,
-              m.outlier(s) || s.doubt >= kServerErrs, r.latency, r.note, o.ask);
+              m.outlier(s) || s.doubt >= kServerErrs, latency, r.note, o.ask);
   // The origin's part of a fetch says nothing of the server's own queue.
   if (r.status == Status::Full && s.util >= kBusyUtil)
     load = limits::Evidence::Bad;
   else if (load == limits::Evidence::Bad || r.note > 1 || o.request.write)
     load = limits::Evidence::None;
-  s.window.ended(m.now, a.sent, 1, load, static_cast<double>(r.latency) / m.cost_of(o),
-                 static_cast<double>(m.set.classes[o.cls].aim) / 2);
+  s.window->ended(m.now, a.sent, 1, load, static_cast<double>(latency) / m.cost_of(o),
+                  static_cast<double>(m.set.classes[o.cls].aim) / 2);
   // An outlier's failures tell nothing of the fleet.
   if (r.status == Status::Ok || !m.outlier(s)) {
     follow(m.errors, r.status == Status::Error);
@@ -1064,14 +1076,14 @@
     case Status::Ok:
       m.note_success(s);
       s.crowded *= 1 - kFullEases;
-      if (!m.is_origin(s)) m.note_latency(s, o.cls, r.latency, true, r.note <= 1);
+      if (!m.is_origin(s)) m.note_latency(s, o.cls, latency, true, r.note <= 1);
       break;
     case Status::Miss:
       m.note_success(s);
       o.missed = true;
       break;
     case Status::Timeout:
-      m.note_latency(s, o.cls, r.latency, false, m.own_part(a));
+      m.note_latency(s, o.cls, latency, false, m.own_part(a));
       break;
     case Status::Error:
       m.note_failure(s, 0.5, m.errors);
@@ -1130,7 +1142,10 @@
     for (Impl::Attempt& a : o.attempts) {
       if (a.ran != Impl::Ran::Out) continue;
       a.overdue = true;
-      if (m.now - a.sent > m.patience(o)) m.note_stall(a, 1);
+      // A client's try may be over before our patience is: what is out past the usual quantile says
+      // half as much. Without it a silent server was never told from a busy one by short tries.
+      double part = static_cast<double>(m.now - a.sent) / static_cast<double>(m.patience(o));
+      if (part > 1 / kPatienceFactor) m.note_stall(a, part > 1 ? 1 : 0.5);
     }
     m.finish(o);
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
