--- a/src/app/wheeldeal.cpp
+++ b/src/app/wheeldeal.cpp
@@ -8,6 +8,7 @@
 #include "../extproc/server.hpp"
 #include "../rig/cache_server.hpp"
 #include "../rig/show.hpp"
+#include "../rig/storm.hpp"
 #include "serve.hpp"
 
 namespace {
@@ -84,7 +85,7 @@
           return e.what();
         }
       });
-  rig->add_flag("--no-changes{false}", show.changes, "no server leaves or joins, no reload");
+  rig->add_flag("!--no-changes", show.changes, "no server leaves or joins, no reload");
   rig->add_option("--slack-ms", show.slack_ms,
                   "what the machine may take on top of each time limit")
       ->check(CLI::Range(0.0, 60'000.0));
@@ -94,6 +95,47 @@
     show.program = own_program();
     status = arrowfork::rig::show(show);
   });
+  arrowfork::rig::StormOptions storm;
+  CLI::App* stormy = app.add_subcommand(
+      "storm", "tills that ask again at once, over a fleet in trouble that ends; a table a day");
+  std::vector<std::string> names;
+  for (const auto& one : arrowfork::emu::named_triggers()) names.emplace_back(one.name);
+  stormy->add_option("trigger", storm.triggers, "what goes wrong, one day each")
+      ->required()
+      ->check(CLI::IsMember(names));
+  stormy->add_option("--load", storm.load, "first tries, of the fleet's capacity")
+      ->check(CLI::Range(0.01, 20.0))
+      ->capture_default_str();
+  stormy->add_option("--servers", storm.servers, "cache servers")
+      ->check(CLI::Range(2, 60))
+      ->capture_default_str();
+  stormy->add_option("--cores", storm.cores, "of each")
+      ->check(CLI::Range(1, 16))
+      ->capture_default_str();
+  stormy->add_option("--routers", storm.routers, "routers")
+      ->check(CLI::Range(1, 16))
+      ->capture_default_str();
+  stormy->add_option("--tries", storm.tries, "of one till, the first among them")
+      ->check(CLI::Range(1, 20))
+      ->capture_default_str();
+  stormy->add_option("--begins", storm.begins_s, "s until the trigger")
+      ->check(CLI::Range(3.0, 600.0))
+      ->capture_default_str();
+  stormy->add_option("--after", storm.after_s, "s after its end")
+      ->check(CLI::Range(3.0, 600.0))
+      ->capture_default_str();
+  stormy->add_option("--back-within", storm.back_within_s, "s until 95% of before is served again")
+      ->capture_default_str();
+  stormy->add_flag("!--only-rules", storm.require_back, "service that is late back fails no day");
+  stormy
+      ->add_option("--slack-ms", storm.slack_ms,
+                   "what the machine may take on top of each time limit")
+      ->check(CLI::Range(0.0, 60'000.0));
+  stormy->add_option("--seed", storm.seed, "of keys, times and routers");
+  stormy->callback([&] {
+    storm.program = own_program();
+    status = arrowfork::rig::storm(storm);
+  });
   CLI11_PARSE(app, argc, argv);
   return status;
 }
--- /dev/null
+++ b/src/rig/model_cache.hpp
@@ -0,0 +1,96 @@
+// The model fleet of src/emu behind sockets: cache servers with cores, waiting rooms, kept keys and
+// one origin, speaking the meta protocol on loopback. One model of what routers serve, in virtual
+// time by the thousand and over sockets when it must be real.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "../emu/fleet.hpp"
+#include "../io/io.hpp"
+#include "../protocol/meta.hpp"
+
+namespace arrowfork::rig {
+
+/// The model's time, kept up with the real clock: what is due is run at every call and every
+/// millisecond.
+class ModelWorld {
+ public:
+  ModelWorld(event_base* base, const TimeSource& clock, const emu::FleetPlan& plan,
+             std::uint64_t seed);
+  emu::Fleet& fleet() { return fleet_; }
+  emu::VirtualTime& time() { return time_; }
+  /// Runs the model up to now.
+  void catch_up();
+  /// The model's `at` on the real clock.
+  Micros real(Micros at) const { return at - offset_; }
+  /// The furthest that the model was behind: this machine's part in what was measured.
+  Micros furthest_behind() const { return behind_; }
+
+ private:
+  static void on_tick(evutil_socket_t, short, void* self);
+  const TimeSource& clock_;
+  emu::VirtualTime time_;
+  emu::Fleet fleet_;
+  Micros offset_, behind_ = 0;
+  EventPtr tick_;
+};
+
+/// What is checked of writes over all servers of a world.
+class Effects {
+ public:
+  explicit Effects(Micros key_ttl) : key_ttl_(key_ttl) {}
+  /// A write has come; true where servers drop it as a repeat.
+  bool note(Micros now, const std::string& idempotency);
+  /// Writes that came again after their key had lapsed, so that they ran twice.
+  std::uint64_t doubled() const { return doubled_; }
+  std::uint64_t ran() const { return ran_; }
+
+ private:
+  Micros key_ttl_;
+  std::unordered_map<std::string, Micros> first_,
+      before_;  // two generations, so that it is bounded
+  Micros generation_at_ = 0;
+  std::uint64_t ran_ = 0, doubled_ = 0;
+};
+
+class ModelCache {
+ public:
+  /// One server of the world at a loopback port that the system chooses. Throws std::runtime_error
+  /// where it can't listen. World and effects must outlive it.
+  ModelCache(event_base* base, const TimeSource& clock, ModelWorld& world, emu::CacheModel& model,
+             Effects& effects);
+  ~ModelCache();
+
+  const std::string& id() const { return model_.id(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  /// As a process that has been started anew: open connections are reset.
+  void reset_connections();
+  struct Counts {
+    std::uint64_t connections = 0, begun = 0, unreadable = 0;
+  };
+  const Counts& counts() const { return counts_; }
+  std::size_t open_connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  static void on_accept(evutil_socket_t, short, void* self);
+  void close(Connection& connection);
+
+  event_base* base_;
+  const TimeSource& clock_;
+  ModelWorld& world_;
+  emu::CacheModel& model_;
+  Effects& effects_;
+  std::uint16_t port_ = 0;
+  Fd listener_;
+  EventPtr accept_event_;
+  Counts counts_;
+  std::vector<std::shared_ptr<Connection>> connections_;
+};
+
+}  // namespace arrowfork::rig
--- /dev/null
+++ b/src/rig/process.cpp
@@ -0,0 +1,74 @@
+#include "process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+namespace arrowfork::rig {
+
+RouterProcess::RouterProcess(const std::string& program, const std::filesystem::path& config,
+                             const std::filesystem::path& log)
+    : log_(log) {
+  pid_ = ::fork();
+  if (pid_ < 0) throw std::runtime_error("fork");
+  if (pid_ > 0) return;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  ::dup2(out, 2);
+  ::execl(program.c_str(), program.c_str(), "run", config.c_str(), static_cast<char*>(nullptr));
+  ::_exit(127);
+}
+
+RouterProcess::~RouterProcess() {
+  if (pid_ <= 0) return;
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+}
+
+std::uint16_t RouterProcess::port() const {
+  std::string text = log(), mark = " listens on ";
+  std::size_t at = text.find(mark), colon = text.find(':', at + mark.size());
+  if (at == text.npos || text.find('\n', at) == text.npos) return 0;
+  return static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1));
+}
+
+std::string RouterProcess::log() const {
+  std::ifstream file(log_);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void RouterProcess::signal(int number) const { ::kill(pid_, number); }
+
+bool RouterProcess::ended() {
+  if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = 0;
+  return pid_ == 0;
+}
+
+bool RouterProcess::ended_well() const {
+  return pid_ == 0 && WIFEXITED(status_) && WEXITSTATUS(status_) == 0;
+}
+
+TemporaryFolder::TemporaryFolder() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "wheeldeal-XXXXXX").string();
+  if (!::mkdtemp(pattern.data())) throw std::runtime_error("no temporary folder");
+  path_ = pattern;
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+EventBasePtr precise_base() {
+  std::unique_ptr<event_config, void (*)(event_config*)> options(event_config_new(),
+                                                                 event_config_free);
+  event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+  return EventBasePtr(event_base_new_with_config(options.get()));
+}
+
+}  // namespace arrowfork::rig
--- /dev/null
+++ b/src/rig/process.hpp
@@ -0,0 +1,54 @@
+// Routers as processes of their own, and what a rig needs around them.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+
+#include "../io/io.hpp"
+
+namespace arrowfork::rig {
+
+/// `PROGRAM run CONFIG` with its standard error in `log`; ends with its owner, or with this
+/// process. Throws std::runtime_error where it can't be started.
+class RouterProcess {
+ public:
+  RouterProcess(const std::string& program, const std::filesystem::path& config,
+                const std::filesystem::path& log);
+  RouterProcess(const RouterProcess&) = delete;
+  RouterProcess& operator=(const RouterProcess&) = delete;
+  ~RouterProcess();
+
+  /// The port that it says it listens on; 0 before.
+  std::uint16_t port() const;
+  std::string log() const;
+  void signal(int number) const;
+  /// True once it has ended.
+  bool ended();
+  bool ended_well() const;
+
+ private:
+  std::filesystem::path log_;
+  pid_t pid_ = -1;
+  int status_ = 0;
+};
+
+/// Gone with what is in it.
+class TemporaryFolder {
+ public:
+  TemporaryFolder();
+  ~TemporaryFolder();
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+/// An event base whose timers are not rounded to the tick.
+EventBasePtr precise_base();
+
+}  // namespace arrowfork::rig
--- a/src/rig/show.cpp
+++ b/src/rig/show.cpp
@@ -1,14 +1,10 @@
 #include "show.hpp"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -16,6 +12,7 @@
 
 #include "cache_server.hpp"
 #include "discovery_server.hpp"
+#include "process.hpp"
 #include "rude_tills.hpp"
 #include "till.hpp"
 
@@ -27,8 +24,8 @@
 constexpr Micros kStep = 10 * kMillisecond;
 constexpr Micros kStartLimit = 20 * kSecond;
 constexpr Micros kDirectTime = 2 * kSecond;
-// A router may be waiting on a watch that a silent discovery took, 20 s and 4 s more, and asks again
-// within 8 s of a failure.
+// A router may be waiting on a watch that a silent discovery took, 20 s and 4 s more, and asks
+// again within 8 s of a failure.
 constexpr Micros kRejoinLimit = 45 * kSecond;
 // After SIGTERM a router ends within the longest deadline and 0.7 s.
 constexpr Micros kEndLimit = 5 * kSecond;
@@ -39,73 +36,6 @@
 constexpr double kCapacity = 200;
 constexpr Micros kDrainGrace = 500 * kMillisecond;
 
-/// A router process; ends with its owner, or with this process.
-class RouterProcess {
- public:
-  RouterProcess(const std::string& program, const std::filesystem::path& config,
-                const std::filesystem::path& log)
-      : log_(log) {
-    pid_ = ::fork();
-    if (pid_ < 0) throw std::runtime_error("fork");
-    if (pid_ > 0) return;
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    ::dup2(out, 2);
-    ::execl(program.c_str(), program.c_str(), "run", config.c_str(), static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  RouterProcess(const RouterProcess&) = delete;
-  RouterProcess& operator=(const RouterProcess&) = delete;
-  ~RouterProcess() {
-    if (pid_ <= 0) return;
-    ::kill(pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
-  }
-
-  /// The port that it says it listens on; 0 before.
-  std::uint16_t port() const {
-    std::string text = log(), mark = " listens on ";
-    std::size_t at = text.find(mark), colon = text.find(':', at + mark.size());
-    if (at == text.npos || text.find('\n', at) == text.npos) return 0;
-    return static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1));
-  }
-  std::string log() const {
-    std::ifstream file(log_);
-    return {std::istreambuf_iterator<char>(file), {}};
-  }
-  void signal(int number) const { ::kill(pid_, number); }
-  /// True once it has ended; status() tells how.
-  bool ended() {
-    if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = 0;
-    return pid_ == 0;
-  }
-  bool ended_well() const { return pid_ == 0 && WIFEXITED(status_) && WEXITSTATUS(status_) == 0; }
-
- private:
-  std::filesystem::path log_;
-  pid_t pid_ = -1;
-  int status_ = 0;
-};
-
-class TemporaryFolder {
- public:
-  TemporaryFolder() {
-    std::string pattern = (std::filesystem::temp_directory_path() / "wheeldeal-XXXXXX").string();
-    if (!::mkdtemp(pattern.data())) throw std::runtime_error("no temporary folder");
-    path_ = pattern;
-  }
-  ~TemporaryFolder() {
-    std::error_code ignored;
-    std::filesystem::remove_all(path_, ignored);
-  }
-  TemporaryFolder(const TemporaryFolder&) = delete;
-  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-  const std::filesystem::path& path() const { return path_; }
-
- private:
-  std::filesystem::path path_;
-};
-
 Json settings(int routers) {
   return {{"Az", "a"},
           {"Balancers", routers},
@@ -147,13 +77,6 @@
           {"Weights", "nominal"}};
 }
 
-EventBasePtr precise_base() {
-  std::unique_ptr<event_config, void (*)(event_config*)> options(event_config_new(),
-                                                                 event_config_free);
-  event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
-  return EventBasePtr(event_base_new_with_config(options.get()));
-}
-
 class Show {
  public:
   explicit Show(const ShowOptions& options) : o_(options), base_(precise_base()) {}
