--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -30,11 +30,16 @@
   ::waitpid(pid_, nullptr, 0);
 }
 
-std::uint16_t RouterProcess::port() const {
-  std::string text = log(), mark = " listens on ";
-  std::size_t at = text.find(mark), colon = text.find(':', at + mark.size());
+std::uint16_t RouterProcess::port() const { return port_after(" listens on 127.0.0.1:"); }
+std::uint16_t RouterProcess::ext_proc_port() const {
+  return port_after("ext_proc listens on port ");
+}
+
+std::uint16_t RouterProcess::port_after(const std::string& mark) const {
+  std::string text = log();
+  std::size_t at = text.find(mark);
   if (at == text.npos || text.find('\n', at) == text.npos) return 0;
-  return static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1));
+  return static_cast<std::uint16_t>(std::atoi(text.c_str() + at + mark.size()));
 }
 
 std::string RouterProcess::log() const {
--- a/src/rig/process.hpp
+++ b/src/rig/process.hpp
@@ -23,6 +23,8 @@
 
   /// The port that it says it listens on; 0 before.
   std::uint16_t port() const;
+  /// The same of its external processor.
+  std::uint16_t ext_proc_port() const;
   std::string log() const;
   void signal(int number) const;
   /// True once it has ended.
@@ -30,6 +32,7 @@
   bool ended_well() const;
 
  private:
+  std::uint16_t port_after(const std::string& mark) const;
   std::filesystem::path log_;
   pid_t pid_ = -1;
   int status_ = 0;
--- a/src/rig/show.cpp
+++ b/src/rig/show.cpp
@@ -7,10 +7,13 @@
 #include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
 #include "cache_server.hpp"
+#include "calling_proxy.hpp"
 #include "discovery_server.hpp"
 #include "process.hpp"
 #include "rude_tills.hpp"
@@ -99,6 +102,9 @@
     RudeTills rude_meta(base_.get(), clock_, rude(false)),
         rude_binary(base_.get(), clock_, rude(true));
     rude_meta.start(), rude_binary.start();
+    CallingProxy proxy(calling());
+    say("a calling proxy asks the external processors, one stream in 50 left without a word");
+    proxy.start();
     spin(kSecond);
     if (o_.changes) changes();
     for (const std::string& name : faults()) trouble(fault_of(name));
@@ -110,14 +116,16 @@
     rude_meta.stop(), rude_binary.stop();
     spin_until([&] { return rude_meta.idle() && rude_binary.idle(); }, rude(false).owed_within * 2);
     for (Tills* t : tills_) t->stop();
-    spin_until([&] { return meta.idle() && binary.idle(); }, 2 * kSecond);
+    proxy.stop();
+    spin_until([&] { return meta.idle() && binary.idle() && proxy.idle(); }, 2 * kSecond);
     end_routers();
     std::printf("\n%-8s %8s %8s %6s %8s %7s %6s %6s %9s %9s %11s %10s\n", "tills", "offered",
                 "in time", "late", "refused", "failed", "lost", "wrong", "p50 ms", "p99 ms",
                 "direct p50", "added p50");
     row("meta", meta, direct_meta);
     row("binary", binary, direct_binary);
-    return verdict(meta, binary, rude_meta.counts(), rude_binary.counts());
+    row("proxy", proxy);
+    return verdict(meta, binary, proxy.counts(), rude_meta.counts(), rude_binary.counts());
   }
 
  private:
@@ -168,6 +176,10 @@
     options.binary = binary;
     options.seed = o_.seed + caches_.size();
     c.server = std::make_unique<CacheServer>(base_.get(), clock_, origin_, options);
+    if (binary) {
+      std::lock_guard lock(binary_mutex_);
+      binary_ports_.insert(c.server->port());
+    }
     caches_.push_back(std::move(c));
     list(caches_.back(), "active");
   }
@@ -195,6 +207,7 @@
                 {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 512}}},
                 {"known", Json::parse(discovery_.whole())},
                 {"settings", settings(o_.routers)},
+                {"ext_proc", {{"listen", "127.0.0.1:0"}}},
                 {"binary", {{"servers", {{{"kind", "bin"}, {"id", "b-*"}}}}}}}
         .dump(1);
   }
@@ -209,7 +222,7 @@
     bool up = spin_until(
         [&] {
           return std::all_of(routers_.begin(), routers_.end(),
-                             [](const auto& r) { return r->port() != 0; });
+                             [](const auto& r) { return r->port() && r->ext_proc_port(); });
         },
         kStartLimit);
     if (!up) throw std::runtime_error("a router did not start: " + routers_.back()->log());
@@ -238,6 +251,21 @@
     return t;
   }
 
+  CallingProxy::Options calling() const {
+    CallingProxy::Options p;
+    for (auto& r : routers_) p.processors.push_back(r->ext_proc_port());
+    // Those that discovery's faults bring later speak it as well.
+    p.is_binary = [this](std::uint16_t port) {
+      std::lock_guard lock(binary_mutex_);
+      return binary_ports_.count(port) > 0;
+    };
+    p.rate = o_.rate;
+    p.abandons = 0.02;
+    p.slack = slack();
+    p.seed = o_.seed + 6;
+    return p;
+  }
+
   RudeTills::Options rude(bool binary) const {
     RudeTills::Options r;
     r.binary = binary;
@@ -360,8 +388,20 @@
                 ms(t.quantile(0.5) - direct.quantile(0.5)));
   }
 
-  int verdict(const Tills& meta, const Tills& binary, const RudeTills::Counts& rude_meta,
-              const RudeTills::Counts& rude_binary) {
+  /// A request of the proxy's is a decision over gRPC and a connection of its own to the cache.
+  static void row(const char* name, const CallingProxy& p) {
+    const CallingProxy::Counts& c = p.counts();
+    auto n = [](std::uint64_t count) { return static_cast<unsigned long>(count); };
+    std::printf(
+        "%-8s %8lu %8lu %6lu %8lu %7lu %6lu %6lu %9.2f %9.2f %11s %10s  decision p50 %.2f p99 "
+        "%.2f ms\n",
+        name, n(c.offered), n(c.in_time), n(c.late), n(c.refused), n(c.failed), n(c.lost),
+        n(c.wrong), ms(p.quantile(0.5)), ms(p.quantile(0.99)), "-", "-",
+        ms(p.decision_quantile(0.5)), ms(p.decision_quantile(0.99)));
+  }
+
+  int verdict(const Tills& meta, const Tills& binary, const CallingProxy::Counts& proxy,
+              const RudeTills::Counts& rude_meta, const RudeTills::Counts& rude_binary) {
     bool held = true;
     auto rule = [&](bool good, const std::string& what) {
       std::printf("%s  %s\n", good ? "held  " : "BROKEN", what.c_str());
@@ -374,6 +414,9 @@
       answered &= c.lost == 0 && c.wrong == 0 && c.offered > 0 &&
                   c.in_time + c.late + c.refused + c.failed == c.offered;
     }
+    answered &= proxy.lost == 0 && proxy.wrong == 0 && proxy.offered > 0 &&
+                proxy.in_time + proxy.late + proxy.refused + proxy.failed + proxy.abandoned ==
+                    proxy.offered;
     rule(answered, "1  one final answer for each request, in time and made for it");
     rule(origin_.ran_twice() == 0,
          "2  no effect twice (" + std::to_string(origin_.writes()) + " writes ran)");
@@ -404,6 +447,8 @@
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<std::uint16_t> ports_;
   std::vector<Tills*> tills_;
+  mutable std::mutex binary_mutex_;  // the proxy's threads ask
+  std::set<std::uint16_t> binary_ports_;
   std::string pushed_over_;
   bool ending_ = false, rejoined_ = false;
 };
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -4,7 +4,7 @@
 set -eu
 packages="g++ cmake make pkg-config libevent-dev nlohmann-json3-dev libcli11-dev libgtest-dev
   libbenchmark-dev libmemcached-dev libnghttp2-dev libboost-dev
-  libprotobuf-dev protobuf-compiler"
+  libprotobuf-dev protobuf-compiler libgrpc++-dev protobuf-compiler-grpc"
 missing=""
 for package in $packages; do
   state=$(dpkg-query -W -f '${Status}' "$package" 2>/dev/null || true)
