External processor: what a caller does is no more laid at the servers' door

Attempts that somebody else carries have the request's own time (Carrier::remote). 2. An attempt left without a report ended as a reset, a failure of its server. It is a cancel, and tells of lateness only past the class's aim. 3. After each failure the next attempt was decided at once for a caller that might never come, held room in windows until the deadline and ended as "could not be reached". Now the outcome is held, and on_again() decides when the caller comes.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -155,6 +155,8 @@
   int attempt = 0;
   int note = 0;                ///< 1 hit, 2 miss, 3 miss with a fetch already out, 0 not told
   std::vector<double> report;  ///< as in Settings::report_fields; may be empty or shorter
+  /// Nobody waits for a further attempt now; on_again() tells when somebody does.
+  bool held = false;
 };
 
 // ---- actions ----
@@ -212,6 +214,8 @@
   Actions on_first(Micros now, RequestId id, const std::string& server, int attempt,
                    Micros latency);
   Actions on_outcome(Micros now, const Outcome& outcome);
+  /// Somebody waits again for a request whose last outcome was held: it goes on or is ended.
+  Actions on_again(Micros now, RequestId id);
   /// The client left; nothing more is owed.
   Actions on_gone(Micros now, RequestId id);
   Actions on_timer(Micros now, std::uint64_t token);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -160,7 +160,10 @@
 
 // ---- attempts ----
 
-void Core::attempt_ended(RequestId id, int attempt, Status status, AttemptResult&& result) {
+void Core::again(RequestId id) { events_.push_back(AgainEvent{id}); }
+
+void Core::attempt_ended(RequestId id, int attempt, Status status, AttemptResult&& result,
+                         bool held) {
   auto it = open_.find(id);
   if (it == open_.end()) return;
   Open& open = it->second;
@@ -177,7 +180,7 @@
     reply.flags = result.flags;
     give_reply(open, std::move(reply));
   }
-  if (a.out) tell_outcome(id, open, attempt, status, &result);
+  if (a.out) tell_outcome(id, open, attempt, status, &result, held);
   if (open.left && !open.answered &&
       std::none_of(open.attempts.begin(), open.attempts.end(),
                    [](const Attempt& one) { return one.carried; }))
@@ -201,15 +204,19 @@
     if (!a.out || (attempt >= 0 && static_cast<int>(k) != attempt)) continue;
     Status status = open.carrier->cancel(a.server, id, static_cast<int>(k));
     a.carried = false;
+    bool unreached = status == Status::Moot && !open.carrier->remote();
     tell_outcome(id, open, static_cast<int>(k),
-                 status == Status::Moot ? Status::ConnectFailed : Status::Timeout, nullptr);
+                 unreached                ? Status::ConnectFailed
+                 : status == Status::Moot ? Status::Moot
+                                          : Status::Timeout,
+                 nullptr);
   }
   if (attempt == -1 && !open.answered) set_timer(clock_.now() + kLastAnswer, Due::Expiry, id, -2);
   forget_if_done(id);
 }
 
-void Core::tell_outcome(RequestId id, Open& open, int attempt, Status status,
-                        AttemptResult* result) {
+void Core::tell_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result,
+                        bool held) {
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
   a.out = false;
   open.missed = status == Status::Miss;
@@ -220,6 +227,7 @@
   e.outcome.status = status;
   e.outcome.latency = clock_.now() - a.sent;
   e.outcome.attempt = attempt;
+  e.outcome.held = held;
   if (result) {
     counts_.hits += result->note == 1;
     counts_.misses += result->note > 1;
@@ -295,6 +303,8 @@
     } else if (auto* e = std::get_if<GoneEvent>(&event)) {
       perform("gone", e->id, now, balancer_.on_gone(now, e->id));
       forget_if_done(e->id);
+    } else if (auto* e = std::get_if<AgainEvent>(&event)) {
+      perform("again", e->id, now, balancer_.on_again(now, e->id));
     } else if (auto* e = std::get_if<ListEvent>(&event)) {
       perform("list", 0, now, balancer_.on_list(now, e->scope, e->servers));
     } else if (auto* e = std::get_if<TimerEvent>(&event)) {
@@ -323,7 +333,7 @@
     return;
   }
   Micros wait = open.deadline - now;
-  if (a.patience > 0 && a.patience < wait) {
+  if (a.patience > 0 && a.patience < wait && !open.carrier->remote()) {
     wait = a.patience;
     set_timer(now + wait, Due::Expiry, a.id, attempt);
   }
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -36,6 +36,10 @@
   virtual Status cancel(const std::string& server, RequestId id, int attempt) = 0;
   /// Whether every server that an attempt may reach is told the write's idempotency key.
   virtual bool keeps_key(const Request& request) const = 0;
+  /// Attempts are carried out by somebody else who is only told of them. Then no patience is held
+  /// against them but the request's own time, since giving one up would not reach who carries it;
+  /// and one that was never sent (Moot) says nothing of whether its server could be reached.
+  virtual bool remote() const { return false; }
 
  protected:
   ~Carrier() = default;
@@ -88,7 +92,12 @@
   void left(RequestId id);
   /// Nobody is left to get the reply.
   void gone(RequestId id);
-  void attempt_ended(RequestId id, int attempt, Status status, AttemptResult&& result);
+  /// `held`: nobody waits for a further attempt until again() is called; without, the module
+  /// decides on one at once.
+  void attempt_ended(RequestId id, int attempt, Status status, AttemptResult&& result,
+                     bool held = false);
+  /// Somebody waits for the request again.
+  void again(RequestId id);
   void list(robinseam::ListScope scope, std::vector<robinseam::Server> servers);
 
   /// Rings the timers that are due and tells the module what has happened, until nothing is left.
@@ -149,6 +158,9 @@
   struct GoneEvent {
     RequestId id;
   };
+  struct AgainEvent {
+    RequestId id;
+  };
   struct ListEvent {
     robinseam::ListScope scope;
     std::vector<robinseam::Server> servers;
@@ -156,7 +168,8 @@
   struct TimerEvent {
     std::uint64_t token;
   };
-  using Event = std::variant<OutcomeEvent, RequestEvent, GoneEvent, ListEvent, TimerEvent>;
+  using Event =
+      std::variant<OutcomeEvent, RequestEvent, GoneEvent, AgainEvent, ListEvent, TimerEvent>;
 
   enum class Due { Module, Expiry };
   struct Timer {
@@ -186,7 +199,8 @@
   void note_id(const std::string& id);
   Counts::Ends* ends_of(const std::string& type);
   void give_reply(Open& open, Reply&& reply);
-  void tell_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result);
+  void tell_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result,
+                    bool held = false);
   void forget_if_done(RequestId id);
 
   const TimeSource& clock_;
--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -152,7 +152,8 @@
 
 void Processor::on_gone(StreamId stream) { leave(stream); }
 
-/// What a stream that ends proves: before its endpoint was told, that nobody waits; after, nothing.
+/// What a stream that ends proves: before its endpoint was told, that nobody waits; after, that its
+/// caller gave the attempt up, which may have run: nothing of the server, but for the time it took.
 void Processor::leave(StreamId stream) {
   auto at = streams_.find(stream);
   if (at == streams_.end()) return;
@@ -167,7 +168,7 @@
     forget(name);
   } else if (e.attempt >= 0 && e.told) {
     ++counts_.unreported;
-    end_attempt(e, Status::Reset);
+    end_attempt(e, Status::Cancelled);
   }
 }
 
@@ -216,9 +217,12 @@
     bool gave_up = e.attempt >= 0 && e.told;
     e.stream = stream;
     e.waiting = true;
-    if (gave_up) end_attempt(e, Status::Timeout);
+    if (gave_up) end_attempt(e, Status::Cancelled);
     if (e.last) return give_final(e);
-    if (e.attempt >= 0) tell(e);  // decided while nobody was there
+    if (e.attempt >= 0)
+      tell(e);  // decided while nobody was there
+    else
+      core_.again(e.id);
     return;
   }
   // A further attempt of a write that is not known here: an earlier one may have run, before a
@@ -291,7 +295,9 @@
 void Processor::end_attempt(Exchange& e, Status status, AttemptResult&& result) {
   int attempt = std::exchange(e.attempt, -1);
   e.told = false;
-  core_.attempt_ended(e.id, attempt, status, std::move(result));
+  // A further attempt is decided when the caller comes for it: one that never comes, or whose
+  // retries are used up, would fill the servers' limits with attempts that nobody carries.
+  core_.attempt_ended(e.id, attempt, status, std::move(result), status != Status::Ok);
 }
 
 // ---- decisions ----
--- a/src/extproc/processor.hpp
+++ b/src/extproc/processor.hpp
@@ -74,6 +74,7 @@
   Status cancel(const std::string& server, RequestId id, int attempt) override;
   /// The caller sends the request itself, with its idempotency header.
   bool keeps_key(const Request&) const override { return true; }
+  bool remote() const override { return true; }
 
   const Counts& counts() const { return counts_; }
   std::size_t open_streams() const { return streams_.size(); }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -188,7 +188,8 @@
     Micros first = 0;  // when its client's first try came, as far as known
     Micros deadline = 0;
     bool closed = false;
-    bool missed = false;  // aside mode: a cache held nothing
+    bool missed = false;             // aside mode: a cache held nothing
+    Status held_for = Status::Moot;  // the outcome with which it waits for on_again()
     limits::Ask ask;
     std::vector<Attempt> attempts;
   };
@@ -561,6 +562,13 @@
     note_failure(s, weight * own_part(a), late);
   }
 
+  /// A client's try may be over before our patience is: what is out past the usual quantile says
+  /// half as much. Without it a silent server was never told from a busy one by short tries.
+  void note_given_up(const Open& o, Attempt& a) {
+    double part = static_cast<double>(now - a.sent) / static_cast<double>(patience(o));
+    if (part > 1 / kPatienceFactor) note_stall(a, part > 1 ? 1 : 0.5);
+  }
+
   /// How far the loss of an attempt is laid at its server's door: where fetches are lost at all
   /// servers, one more says little of this one.
   double own_part(const Attempt& a) const { return 1 - a.fetch * lim.fetches_lost(); }
@@ -1050,6 +1058,8 @@
     m.note_full(s);
   else if (r.status == Status::Timeout)
     m.note_stall(a, 1);
+  else if (r.status == Status::Cancelled && r.held && m.now - a.sent >= m.set.classes[o.cls].aim)
+    m.note_given_up(o, a);  // sooner, it is the caller's haste that it tells of
   else if (r.status != Status::Cancelled && r.status != Status::Moot && !a.stalled)
     m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss, m.own_part(a));
   // Longer than its client waited is no measurement, but a clock that was stepped or stood still.
@@ -1104,6 +1114,8 @@
   if (r.finished) {
     if (!o.closed) m.cancel_rest(o);
     o.closed = true;
+  } else if (r.held) {
+    o.held_for = r.status;
   } else {
     m.go_on(o, r.status);
   }
@@ -1111,6 +1123,16 @@
   return std::move(m.out);
 }
 
+Actions Balancer::on_again(Micros now, RequestId id) {
+  Impl& m = *impl_;
+  m.tick(now);
+  auto it = m.open.find(id);
+  if (it == m.open.end() || it->second.attempts.empty()) return {};
+  m.go_on(it->second, it->second.held_for);
+  m.forget_if_done(id);
+  return std::move(m.out);
+}
+
 Actions Balancer::on_gone(Micros now, RequestId id) {
   Impl& m = *impl_;
   m.tick(now);
@@ -1142,10 +1164,7 @@
     for (Impl::Attempt& a : o.attempts) {
       if (a.ran != Impl::Ran::Out) continue;
       a.overdue = true;
-      // A client's try may be over before our patience is: what is out past the usual quantile says
-      // half as much. Without it a silent server was never told from a busy one by short tries.
-      double part = static_cast<double>(m.now - a.sent) / static_cast<double>(m.patience(o));
-      if (part > 1 / kPatienceFactor) m.note_stall(a, part > 1 ? 1 : 0.5);
+      m.note_given_up(o, a);
     }
     m.finish(o);
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
