--- a/src/emu/demand.cpp
+++ b/src/emu/demand.cpp
@@ -34,6 +34,7 @@
       {"forgotten", of(Kind::Misses, 0, 1, 1)},
       {"storm", of(Kind::Storm, 5, 0.5, 10)},
       {"writes-fail", of(Kind::ClassFails, 5, 1, 1)},
+      {"steady", of(Kind::Load, 1, 1, 1)},
   };
   return all;
 }
--- a/src/extproc/server.cpp
+++ b/src/extproc/server.cpp
@@ -20,8 +20,6 @@
 
 // How often health is told anew, idle connections are looked for and final answers forgotten.
 constexpr Micros kSweep = kSecond / 4;
-// A peer that takes none of its answers for this long is given up, as on the other listener.
-constexpr Micros kStallTime = 2 * kSecond;
 constexpr std::size_t kRead = 64u << 10;
 
 Rules rules_of(const ExtProcSettings& s) {
@@ -51,6 +49,8 @@
         number_(number),
         fd_(std::move(fd)),
         since_(server.clock_.now()),
+        born_(since_),
+        heard_at_(since_),
         session_(std::make_unique<grpc::ServerSession>(server.clock_, *this, server.limits_,
                                                        server.session_counts_)) {
     read_.reset(event_new(server.base_, fd_.get(), EV_READ | EV_PERSIST, on_read, this));
@@ -102,7 +102,21 @@
       if (std::exchange(told, serving) != serving) tell_health(call, serving);
     Micros now = server_.clock_.now();
     if (session_->open_calls() > 0) since_ = now;
-    over_ |= stalled_since_ && now - stalled_since_ > kStallTime;
+    const ExtProcSettings& most = server_.settings_;
+    auto give_up = [&](bool due, std::uint64_t& count) {
+      if (!due || over_) return;
+      ++count;
+      over_ = true;
+    };
+    give_up(stalled_since_ && now - stalled_since_ > most.stall, server_.counts_.stalled);
+    give_up(!session_->greeted() && now - born_ > most.half_open, server_.counts_.half_open);
+    if (session_->open_calls() == 0) return;
+    // A machine that has vanished says nothing, and its calls would stay for good.
+    if (!pinged_at_ && now - heard_at_ > most.keepalive) {
+      pinged_at_ = now;
+      session_->ping();
+    }
+    give_up(pinged_at_ && now - pinged_at_ > most.keepalive_timeout, server_.counts_.vanished);
   }
   bool idle(Micros now, Micros most) const {
     return session_->open_calls() == 0 && now - since_ > most;
@@ -172,7 +186,8 @@
     else if (!c->session_->recv({data, static_cast<std::size_t>(got)}))
       c->ending_ = true;
     if (c->over_ || c->ending_) event_del(c->read_.get());
-    c->since_ = c->server_.clock_.now();
+    c->since_ = c->heard_at_ = c->server_.clock_.now();
+    c->pinged_at_ = 0;
     c->server_.touch(*c);
   }
   static void on_write(evutil_socket_t, short, void* self) {
@@ -190,6 +205,8 @@
   bool ending_ = false;  // closes once what is due is written
   Micros stalled_since_ = 0;
   Micros since_;  // its connect, its last bytes, or its last open call
+  Micros born_, heard_at_;
+  Micros pinged_at_ = 0;  // unanswered since then; 0: none is
   std::unordered_map<grpc::CallId, Kind> kinds_;
   std::unordered_map<grpc::CallId, bool> watches_;  // what each was told last
   std::unique_ptr<grpc::ServerSession> session_;    // its end tells of calls that are gone
@@ -206,6 +223,11 @@
   limits_.streams = static_cast<std::uint32_t>(settings.streams_per_connection);
   limits_.header_bytes = static_cast<std::uint32_t>(settings.header_bytes);
   limits_.resets_per_s = static_cast<std::uint32_t>(settings.resets_per_s);
+  limits_.pings_per_s = static_cast<std::uint32_t>(settings.pings_per_s);
+  limits_.stream_window = static_cast<std::uint32_t>(settings.stream_window);
+  limits_.connection_window = static_cast<std::uint32_t>(settings.connection_window);
+  limits_.message_bytes = settings.message_bytes;
+  limits_.out_bytes = settings.out_bytes;
   auto address = parse_address(settings.listen);
   if (!address) throw ConfigError("ext_proc.listen: no address: '" + settings.listen + "'");
   std::string error;
@@ -255,6 +277,39 @@
   }
 }
 
+std::vector<std::pair<std::string, std::uint64_t>> Server::figures() const {
+  const Processor::Counts& p = processor_.counts();
+  const grpc::ServerSession::Counts& s = session_counts_;
+  std::vector<std::pair<std::string, std::uint64_t>> all = {
+      {"connections_open", connections_.size()},
+      {"connections", counts_.connections},
+      {"connections_turned_away", counts_.turned_away},
+      {"connections_idle", counts_.idle},
+      {"connections_half_open", counts_.half_open},
+      {"connections_stalled", counts_.stalled},
+      {"connections_vanished", counts_.vanished},
+      {"slow_readers", s.slow_readers},
+      {"rapid_resets", s.rapid_resets},
+      {"ping_floods", s.ping_floods},
+      {"garbage", s.garbage},
+      {"headers_too_long", s.headers_too_long},
+      {"messages_too_long", s.message_too_long},
+      {"streams_open", processor_.open_streams()},
+      {"streams", p.streams},
+      {"streams_too_many", p.too_many},
+      {"requests_kept", processor_.kept()},
+      {"bad", p.bad},
+      {"picked", p.picked},
+      {"refused", p.refused},
+      {"failed", p.failed},
+      {"reported", p.reported},
+      {"unreported", p.unreported},
+      {"other_endpoint", p.other_endpoint},
+      {"continued", p.continued}};
+  for (auto& [name, value] : all) name.insert(0, "ext_proc_");
+  return all;
+}
+
 void Server::touch(Connection& c) {
   if (std::exchange(c.dirty, true)) return;
   dirty_.push_back(c.number_);
--- a/src/extproc/server.hpp
+++ b/src/extproc/server.hpp
@@ -26,10 +26,12 @@
   void flush() override;
   void drain() override;
   bool drained() const override { return draining_ && connections_.empty(); }
+  std::vector<std::pair<std::string, std::uint64_t>> figures() const override;
   std::uint16_t port() const { return port_; }
   const Processor& processor() const { return processor_; }
   struct Counts {
     std::uint64_t connections = 0, turned_away = 0, idle = 0;
+    std::uint64_t half_open = 0, stalled = 0, vanished = 0;  ///< closed for it
   };
   const Counts& counts() const { return counts_; }
   const grpc::ServerSession::Counts& session_counts() const { return session_counts_; }
--- a/src/grpc/server_session.cpp
+++ b/src/grpc/server_session.cpp
@@ -137,6 +137,7 @@
     ServerSession& s = of(self);
     if (frame->hd.type == NGHTTP2_PING || frame->hd.type == NGHTTP2_SETTINGS) {
       s.pings_ += !(frame->hd.flags & NGHTTP2_FLAG_ACK);
+      s.greeted_ |= frame->hd.type == NGHTTP2_SETTINGS;
       if (s.pings_ > s.limits_.pings_per_s) {
         ++s.counts_.ping_floods;
         s.broken_ = true;
@@ -383,6 +384,8 @@
   return !broken_ && (nghttp2_session_want_read(session_) || nghttp2_session_want_write(session_));
 }
 
+void ServerSession::ping() { nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr); }
+
 void ServerSession::go_away() {
   if (std::exchange(leaving_, true)) return;
   nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
--- a/src/grpc/server_session.hpp
+++ b/src/grpc/server_session.hpp
@@ -99,6 +99,10 @@
   void finish(CallId call, Status status, const std::string& text = {});
   /// Takes no new calls and lets those that are open finish (GOAWAY).
   void go_away();
+  /// Asks the peer for a sign of life (PING); what it sends next is one.
+  void ping();
+  /// The peer has spoken HTTP/2: its preface and first SETTINGS have come.
+  bool greeted() const { return greeted_; }
   /// True once go_away() was called and nothing is open.
   bool drained() const;
   std::size_t open_calls() const { return calls_.size(); }
@@ -121,7 +125,7 @@
   std::size_t held_ = 0, unsent_ = 0;  // bytes of messages that nghttp2 has not taken; not written
   Micros second_ = 0;                  // the one that the two counts are of
   std::uint32_t resets_ = 0, pings_ = 0;
-  bool leaving_ = false, broken_ = false;
+  bool leaving_ = false, broken_ = false, greeted_ = false;
 };
 
 /// The figure of a grpc-timeout header; nothing where it is none. At most some 3,170 years come.
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -32,9 +32,18 @@
   std::size_t connections = 64;  ///< beyond, new ones are closed
   std::size_t streams = 10'000;  ///< calls open at once, over all connections
   std::size_t streams_per_connection = 1'000;
-  std::size_t header_bytes = 16u << 10;  ///< of one call
-  std::size_t resets_per_s = 200;        ///< of calls by one connection, before it is sent away
-  robinseam::Micros idle = 300'000'000;  ///< a connection without a call for this long is let go
+  std::size_t header_bytes = 16u << 10;   ///< of one call
+  std::size_t resets_per_s = 200;         ///< of calls by one connection, before it is sent away
+  std::size_t pings_per_s = 20;           ///< of one connection, before it is sent away
+  std::size_t message_bytes = 64u << 10;  ///< of one message
+  std::size_t stream_window = 128u << 10, connection_window = 1u << 20;  ///< bytes sent ahead
+  std::size_t out_bytes = 1u << 20;         ///< answers that wait for a slow reader
+  robinseam::Micros idle = 300'000'000;     ///< a connection without a call for this long is let go
+  robinseam::Micros stall = 2'000'000;      ///< a peer that takes nothing for so long is given up
+  robinseam::Micros half_open = 5'000'000;  ///< until a new connection has spoken HTTP/2
+  /// A connection with calls open that says nothing for so long is asked for a sign of life, and
+  /// given up where none comes in time: its machine has vanished.
+  robinseam::Micros keepalive = 10'000'000, keepalive_timeout = 5'000'000;
   bool operator==(const ExtProcSettings&) const = default;
 };
 
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -2,6 +2,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace arrowfork {
 
@@ -14,6 +18,8 @@
   virtual void drain() = 0;
   /// Nothing is open any more.
   virtual bool drained() const = 0;
+  /// Counts since the start, for STAT and the log; names begin with the front's own.
+  virtual std::vector<std::pair<std::string, std::uint64_t>> figures() const = 0;
 };
 
 }  // namespace arrowfork
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -248,7 +248,8 @@
       "error %lu full %lu timeout %lu unreached %lu reset %lu cancelled %lu unsent %lu spoilt %lu "
       "| "
       "connections %zu dials %lu failed %lu none %lu pipelined %lu ended idle %lu busy %lu "
-      "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu kept %lu servers %zu worst "
+      "garbage %lu closed idle %lu given up %lu late answers %lu made room %lu kept %lu servers "
+      "%zu worst "
       "%s %lu | "
       "hits %lu misses %lu turned away %lu unsendable %lu given up %lu shed fetched %.2f held %.2f "
       "fetches %.1f of %.1f "
@@ -263,6 +264,12 @@
       worst.first.c_str(), worst.second, c.hits, c.misses, m.turned_away, m.unsendable, m.given_up,
       m.shed_fetched, m.shed_held, m.fetches_out, m.fetch_limit, m.late, m.errors, m.full,
       m.unreachable, m.spoilt, m.utilization, m.live, m.saved_seeds, m.tracked_keys);
+  for (const Front* front : r->fronts_) {
+    std::string line;
+    for (const auto& [name, value] : front->figures())
+      line += ' ' + name + ' ' + std::to_string(value);
+    std::fprintf(stderr, "arrowfork:%s\n", line.c_str());
+  }
 }
 
 // ---- discovery ----
@@ -459,6 +466,8 @@
   add("shed_held", m.shed_held);
   add("fetch_limit", m.fetch_limit);
   add("fetches_out", m.fetches_out);
+  for (const Front* front : fronts_)
+    for (const auto& [name, value] : front->figures()) add(name.c_str(), value);
   return all;
 }
 
--- a/src/rig/process.hpp
+++ b/src/rig/process.hpp
@@ -26,6 +26,7 @@
   /// The same of its external processor.
   std::uint16_t ext_proc_port() const;
   std::string log() const;
+  pid_t pid() const { return pid_; }
   void signal(int number) const;
   /// True once it has ended.
   bool ended();
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -296,6 +296,8 @@
           t->router->stop();
         else if (got == 1 && what == 'h')
           t->self->reload_now(*t->router);
+        else if (got == 1 && what == 'c')
+          t->self->what_(), t->self->reloaded_->set_value();
         else
           t->router->quit();
       };
@@ -329,6 +331,14 @@
     order('h');
     done.get_future().wait();
   }
+  /// Runs `what` on the router's thread and comes back when that is done.
+  void in_loop(std::function<void()> what) {
+    what_ = std::move(what);
+    std::promise<void> done;
+    reloaded_ = &done;
+    order('c');
+    done.get_future().wait();
+  }
   /// As SIGTERM.
   void terminate() { order('t'); }
   void wait_for_end() { thread_.join(); }
@@ -345,7 +355,8 @@
     reloaded_->set_value();
   }
   Fd orders_;
-  std::string reload_text_;  // handed over by the order
+  std::string reload_text_;     // handed over by the order
+  std::function<void()> what_;  // the same
   std::promise<void>* reloaded_ = nullptr;
   std::thread thread_;
   std::uint16_t port_ = 0, control_port_ = 0;
