--- a/bench/extproc_bench.cpp
+++ b/bench/extproc_bench.cpp
@@ -76,7 +76,7 @@
 
 // ---- the echo, in a process of its own ----
 
-class Echo final : grpc::ServerSession::Handler {
+class Echo final : public grpc::ServerSession::Handler {
  public:
   Echo(event_base* base, const TimeSource& clock, Fd fd) : fd_(std::move(fd)) {
     limits_.streams = 100'000;
