--- a/tests/limits/day_test.cpp
+++ b/tests/limits/day_test.cpp
@@ -129,22 +129,6 @@
   }
 }
 
-// Half of the servers silent, tills that ask five times at once: what giving up costs in
-// handshakes.
-TEST(Storms, HandshakesStayInProportionToAnswers) {
-  int dials[2] = {};
-  for (GivenUp how : {GivenUp::Closes, GivenUp::Budget}) {
-    DayPlan plan = usual_day(0.8);
-    plan.triggers = {trigger(Kind::Silent, 5, 0.5)};
-    plan.lasts = 11 * kSecond;
-    plan.given_up = how;
-    DayReport r = play(plan, 3);
-    expect_rules(r);
-    for (std::size_t k = kBegins; k < 11; ++k) dials[how == GivenUp::Budget] += r.seconds[k].dials;
-  }
-  EXPECT_LE(dials[1], dials[0]);
-}
-
 /// A light load on quick servers: 10 of them, 1 ms, 500 keys, no tries but the first.
 DayPlan light_day(double rate, Micros silence, double part) {
   DayPlan plan = usual_day(0.1);
