Nearness: the pull to the own zone goes by what it sheds beyond the whole fleet

Cause: with every key to be kept near, 0.5 of the attempts per first try still crossed zones. The other zones were no better off, so requests crossed for nothing.

Change: the live part of the own zone counts against that of the whole fleet (refresh() in rules.cpp).

The test holds the pull against reports of busy cores in all zones, in the others and in the own one.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -238,6 +238,7 @@
     double late = 0, errors = 0, full = 0, unreachable = 0, spoilt = 0;
     double utilization = 0;  ///< mean of reports lately
     double live = 0;         ///< servers, by the part that is live
+    double near_pull = 0;  ///< part of foreign segments that is passed over, 0 to 1
   };
   Stats stats() const;
   /// Where an idle fleet would serve the key's first request now: the server id, or empty.
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -254,8 +254,9 @@
       "hits %lu misses %lu turned away %lu unsendable %lu given up %lu shed fetched %.2f held %.2f "
       "fetches %.1f of %.1f "
       "late %.2f "
-      "errors %.2f full %.2f unreachable %.2f spoilt %.2f utilization %.2f live %.1f seeds %zu "
-      "keys %zu\n",
+      "errors %.2f full %.2f unreachable %.2f spoilt %.2f utilization %.2f live %.1f near %.2f "
+      "seeds "
+      "%zu keys %zu\n",
       c.requests, r->core_.open_requests(), c.refused, c.failed, c.gone, r->clients_.connections(),
       c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4], c.outcomes[5],
       c.outcomes[6], c.outcomes[7], c.outcomes[9], r->servers_.connections(), s.dials,
@@ -263,7 +264,7 @@
       s.closed_idle, s.gave_up, s.late_answers, s.made_room, s.kept, r->servers_.servers(),
       worst.first.c_str(), worst.second, c.hits, c.misses, m.turned_away, m.unsendable, m.given_up,
       m.shed_fetched, m.shed_held, m.fetches_out, m.fetch_limit, m.late, m.errors, m.full,
-      m.unreachable, m.spoilt, m.utilization, m.live, m.saved_seeds, m.tracked_keys);
+      m.unreachable, m.spoilt, m.utilization, m.live, m.near_pull, m.saved_seeds, m.tracked_keys);
   for (const Front* front : r->fronts_) {
     std::string line;
     for (const auto& [name, value] : front->figures())
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -353,8 +353,10 @@
       double fair = sent_rate() / warm_sum;
       borne += (borne <= 0 ? 1 : kBorneGain) * (fair - borne);
     }
-    // Servers of the own zone that shed load loosen the pull to it.
-    double rest = near_weight > 0 ? near_live / near_weight : 0;
+    // Servers of the own zone that shed load loosen the pull to it, as far as the others shed less.
+    double rest = near_weight > 0 && live_sum > 0
+                      ? std::min(1.0, near_live / near_weight * ready / live_sum)
+                      : 0;
     near_pull = kMaxNearPull * rest * rest;
   }
 
@@ -1204,7 +1206,7 @@
   s.late = m.late, s.errors = m.errors, s.full = m.full, s.unreachable = m.unreachable;
   s.spoilt = m.spoilt;
   s.utilization = m.util_mean;
-  s.live = m.live_sum;
+  s.live = m.live_sum, s.near_pull = m.near_pull;
   return s;
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -215,6 +215,37 @@
   }
 }
 
+// Protects against: the pull to the own zone let go where the whole fleet sheds a part of its keys,
+// which sent half of all requests to other zones that were no better off.
+TEST(Nearness, ThePullGoesByWhatTheOwnZoneShedsBeyondTheFleet) {
+  struct Case {
+    const char* shed;  // zones whose servers say that their cores are busy
+    double least, most;
+  };
+  for (const Case& c :
+       {Case{"", 0.85, 0.95}, {"abc", 0.8, 0.95}, {"bc", 0.85, 0.95}, {"a", 0, 0.6}}) {
+    Settings s = basic_settings();
+    s.cross_zone_charge = 0.12;
+    s.zones = {"a", "b", "c"};
+    s.routers = 100;
+    s.report_fields = {ReportField::Utilization};
+    Balancer b(s, 7, 0);
+    auto list = fleet(30);
+    std::map<std::string, std::string> zones;
+    for (std::size_t k = 0; k < list.size(); ++k) zones[list[k].id] = list[k].zone = s.zones[k % 3];
+    b.on_list(0, ListScope::Full, list);
+    for (RequestId id = 0; id < 300; ++id) {
+      Micros now = Micros(id) * 30 * kMs;
+      std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+      Outcome o = ended(id, server, Status::Ok);
+      o.report = {std::string(c.shed).find(zones[server]) == std::string::npos ? 0.3 : 0.99};
+      b.on_outcome(now, o);
+    }
+    EXPECT_GE(b.stats().near_pull, c.least) << c.shed;
+    EXPECT_LE(b.stats().near_pull, c.most) << c.shed;
+  }
+}
+
 TEST(SavedSeeds, MemoryIsBoundedUnderAScan) {
   Settings s = basic_settings();
   s.cross_zone_charge = 0.1;
