Log: one line of the servers at which attempts fail, and Core's counts by server

Every 5 s a line names the servers at which anything but answers came: answered, failed, full, given up, unreached, live part. Bounded at 512 servers, freed with each line.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -221,6 +221,8 @@
   a.out = false;
   open.missed = status == Status::Miss;
   ++counts_.outcomes[static_cast<std::size_t>(status)];
+  if (at_servers_.size() < kMostCounted || at_servers_.count(a.server))
+    ++at_servers_[a.server][static_cast<std::size_t>(status)];
   OutcomeEvent e;
   e.outcome.id = id;
   e.outcome.server = a.server;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <queue>
 #include <unordered_map>
 #include <unordered_set>
@@ -127,10 +128,15 @@
     std::vector<Ends> ends;
   };
   const Counts& counts() const { return counts_; }
+  using Outcomes = std::array<std::uint32_t, 10>;  ///< by Status
+  /// What attempts at each server came to since the last call. Of kMostCounted servers at most:
+  /// what ends elsewhere until the next call is under none.
+  std::map<std::string, Outcomes> take_server_counts() { return std::exchange(at_servers_, {}); }
   robinseam::Balancer::Stats module_stats() const { return balancer_.stats(); }
   void set_tap(SeamTap* tap) { tap_ = tap; }
 
  private:
+  static constexpr std::size_t kMostCounted = 512;
   struct Attempt {
     std::string server;
     Micros sent = 0;
@@ -222,6 +228,7 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
   std::uint64_t timer_order_ = 0;
   Counts counts_;
+  std::map<std::string, Outcomes> at_servers_;
   SeamTap* tap_ = nullptr;
 };
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -265,6 +265,7 @@
       worst.first.c_str(), worst.second, c.hits, c.misses, m.turned_away, m.unsendable, m.given_up,
       m.shed_fetched, m.shed_held, m.fetches_out, m.fetch_limit, m.late, m.errors, m.full,
       m.unreachable, m.spoilt, m.utilization, m.live, m.near_pull, m.saved_seeds, m.tracked_keys);
+  r->log_servers();
   for (const Front* front : r->fronts_) {
     std::string line;
     for (const auto& [name, value] : front->figures())
@@ -273,6 +274,25 @@
   }
 }
 
+/// One line of the servers at which anything but answers came since the last: id, then answered,
+/// failed, full, given up, unreached (with resets) and the part of its slots it is live over.
+void Router::log_servers() {
+  std::string line;
+  for (const auto& [id, counts] : core_.take_server_counts()) {
+    auto of = [&counts = counts](Status s) { return counts[static_cast<std::size_t>(s)]; };
+    unsigned failed = of(Status::Error) + of(Status::Spoilt);
+    unsigned given_up = of(Status::Timeout) + of(Status::Cancelled);
+    unsigned unreached = of(Status::ConnectFailed) + of(Status::Reset);
+    unsigned full = of(Status::Full);
+    if (failed + full + given_up + unreached == 0) continue;
+    char text[160];
+    std::snprintf(text, sizeof text, " %s %u/%u/%u/%u/%u/%.2f", id.c_str(), of(Status::Ok), failed,
+                  full, given_up, unreached, core_.live_fraction(id));
+    line += text;
+  }
+  if (!line.empty()) std::fprintf(stderr, "arrowfork: at%s\n", line.c_str());
+}
+
 // ---- discovery ----
 
 void Router::on_hosts(HostList&& told) {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -89,6 +89,7 @@
   static void on_tick(evutil_socket_t, short, void* self);
   static void on_timer(evutil_socket_t, short, void* self);
   static void on_stop_step(evutil_socket_t, short, void* self);
+  void log_servers();
   static void on_log(evutil_socket_t, short, void* self);
   void arm();
   std::vector<std::pair<std::string, std::string>> stats() const;
