Pace: a request that a slow kind of server would answer late passes it over

A router sees a server once in 4 s, so a pace by server is not to be had; by kind there are several answers a second.

Change: src/limits/pace pools latency over hinted work by kind and tells how much likelier the quickest kind answers within the aim; the walk passes over segments of a kind where that is above 0.2, in nine of ten, so a key's homes stay few.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "limits/limits.hpp"
+#include "limits/pace.hpp"
 #include "robinseam/balancer.hpp"
 
 namespace robinseam {
@@ -38,6 +39,9 @@
 // worth.
 // Worth lost by one more copy, in requests: its miss, and what it adds to a jammed origin.
 constexpr double kMissCost = 2.0;
+// A kind of server is passed over for a request that a quicker kind serves in time by this much
+// likelier, by the same part as foreign segments are: its keys' homes stay few.
+constexpr double kPaceGain = 0.2;
 constexpr double kMaxNearPull = 0.9;  // the part of foreign segments a popular key passes over
 constexpr std::size_t kMaxTracked =
     4096;  // keys counted per generation; bounds memory under a scan
@@ -239,6 +243,7 @@
   // Failures per attempt over the whole fleet, lately.
   double errors = 0, late = 0, unreachable = 0, full = 0, spoilt = 0;
   limits::Limits lim;
+  limits::Paces paces;
   double mean_value = 0;  // usual worth of a request, or per work where worth goes by request
   // renewed by refresh()
   Micros refreshed = -1;
@@ -460,6 +465,12 @@
     return -1;
   }
 
+  /// Whether another kind of server would serve the request in time where this one would not.
+  bool too_slow(const Open& o, const ServerState& s) const {
+    return o.request.work && paces.gain_elsewhere(s.listed.kind, *o.request.work,
+                                                  set.classes[o.cls].aim) > kPaceGain;
+  }
+
   /// Draws from `seed` to the next live segment whose server may take the request.
   Landing walk(std::uint64_t seed, const Open& o, bool keep_near) {
     Landing fallback;
@@ -471,6 +482,7 @@
       if (i < 0) return fallback;
       ServerState& s = servers[i];
       if (!may_send(o, i) || tried(o, i)) continue;
+      if (too_slow(o, s) && depth_of(mix(seed + 1)) < kMaxNearPull) continue;
       if (keep_near && s.listed.zone != set.zone && depth_of(mix(seed)) < near_pull) continue;
       if (!cold_has_room(s, cost)) continue;
       bool room = s.window->has_room(1, part);
@@ -1092,6 +1104,7 @@
       m.note_success(s);
       s.crowded *= 1 - kFullEases;
       if (!m.is_origin(s)) m.note_latency(s, o.cls, latency, true, r.note <= 1);
+      if (r.note <= 1 && o.request.work) m.paces.note(s.listed.kind, *o.request.work, latency);
       break;
     case Status::Miss:
       m.note_success(s);
