Pace: a quicker kind is preferred only as far as the fleet's cores are free

The gain asked for now rises with the utilization beyond one half.

Tests: tables of works, aims and kinds, few answers, old ones, a bound of kinds, and the walk at three utilizations; the last fails without the bound by utilization.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,6 +42,9 @@
 // A kind of server is passed over for a request that a quicker kind serves in time by this much
 // likelier, by the same part as foreign segments are: its keys' homes stay few.
 constexpr double kPaceGain = 0.2;
+// Plus what the fleet's cores are busy beyond this: a quick kind that is short itself gains
+// nothing.
+constexpr double kPaceUtil = 0.5;
 constexpr double kMaxNearPull = 0.9;  // the part of foreign segments a popular key passes over
 constexpr std::size_t kMaxTracked =
     4096;  // keys counted per generation; bounds memory under a scan
@@ -467,8 +470,9 @@
 
   /// Whether another kind of server would serve the request in time where this one would not.
   bool too_slow(const Open& o, const ServerState& s) const {
-    return o.request.work && paces.gain_elsewhere(s.listed.kind, *o.request.work,
-                                                  set.classes[o.cls].aim) > kPaceGain;
+    double least = kPaceGain + std::max(0.0, util_mean - kPaceUtil);
+    return o.request.work &&
+           paces.gain_elsewhere(s.listed.kind, *o.request.work, set.classes[o.cls].aim) > least;
   }
 
   /// Draws from `seed` to the next live segment whose server may take the request.
--- /dev/null
+++ b/tests/limits/pace_test.cpp
@@ -0,0 +1,95 @@
+// What few answers tell of a kind of server, and which requests go to a quicker one.
+#include "limits/pace.hpp"
+
+#include <gtest/gtest.h>
+
+#include "../support.hpp"
+
+namespace robinseam::limits {
+namespace {
+
+using test::kMs;
+
+TEST(Paces, AGainIsSeenWhereTheAimLiesBetweenTheKinds) {
+  Paces p;
+  for (int k = 0; k < 40; ++k)
+    p.note("quick", 30 * kMs, 30 * kMs), p.note("slow", 30 * kMs, 60 * kMs);
+  struct Case {
+    const char* kind;
+    Micros work, aim;
+    double least, most;
+  };
+  for (const Case& c : {Case{"slow", 30 * kMs, 150 * kMs, 0, 0.05},  // in time anywhere
+                        {"slow", 100 * kMs, 150 * kMs, 0.4, 0.9},    // only at the quick kind
+                        {"slow", 900 * kMs, 150 * kMs, 0, 0.05},     // late anywhere
+                        {"quick", 100 * kMs, 150 * kMs, 0, 0},       // it is the quickest
+                        {"unseen", 100 * kMs, 150 * kMs, 0, 0},      // nothing is known
+                        {"slow", 0, 150 * kMs, 0, 0},
+                        {"slow", 100 * kMs, 0, 0, 0}}) {
+    EXPECT_GE(p.gain_elsewhere(c.kind, c.work, c.aim), c.least) << c.kind << ' ' << c.work;
+    EXPECT_LE(p.gain_elsewhere(c.kind, c.work, c.aim), c.most) << c.kind << ' ' << c.work;
+  }
+}
+
+TEST(Paces, AFewAnswersProveNothingAndOldOnesAreForgotten) {
+  Paces p;
+  auto gain = [&] { return p.gain_elsewhere("slow", 100 * kMs, 150 * kMs); };
+  for (int k = 0; k < 40; ++k) p.note("quick", 30 * kMs, 30 * kMs);
+  for (int k = 0; k < 9; ++k) p.note("slow", 30 * kMs, 60 * kMs);
+  EXPECT_EQ(gain(), 0);
+  p.note("slow", 30 * kMs, 60 * kMs);
+  EXPECT_GT(gain(), 0.4);
+  for (int k = 0; k < 150; ++k) p.note("slow", 30 * kMs, 30 * kMs);
+  EXPECT_LT(gain(), 0.1);
+}
+
+TEST(Paces, KindsAreBounded) {
+  Paces p;
+  for (int kind = 0; kind < 100; ++kind)
+    for (int k = 0; k < 20; ++k)
+      p.note("k" + std::to_string(kind), 30 * kMs, (kind + 1) * 30 * kMs);
+  EXPECT_GT(p.gain_elsewhere("k31", 100 * kMs, 150 * kMs), 0.5);
+  EXPECT_EQ(p.gain_elsewhere("k32", 100 * kMs, 150 * kMs), 0);
+}
+
+// Protects against: three in four of the large requests at machines that serve them late, and a
+// quick kind that is overrun once the whole fleet is busy.
+TEST(Paces, LargeRequestsGoToTheQuickKindWhileItsCoresAreFree) {
+  struct Case {
+    double utilization;
+    Micros work;
+    double least, most;  // part of requests at the quick kind, a third of the fleet
+  };
+  for (const Case& c : {Case{0.4, 20 * kMs, 0.25, 0.45},
+                        {0.4, 100 * kMs, 0.75, 0.95},
+                        {1.0, 100 * kMs, 0.2, 0.45}}) {
+    Settings s = test::basic_settings();
+    s.report_fields = {ReportField::Utilization};
+    Balancer b(s, 7, 0);
+    auto list = test::fleet(30);
+    std::map<std::string, bool> quick;
+    for (std::size_t k = 0; k < list.size(); ++k) {
+      list[k].kind = k % 3 ? "slow" : "quick";
+      quick[list[k].id] = k % 3 == 0;
+    }
+    b.on_list(0, ListScope::Full, list);
+    int at_quick = 0;
+    for (RequestId id = 0; id < 1500; ++id) {
+      Micros now = Micros(id) * 20 * kMs;
+      bool counted = id >= 500;
+      Request r = test::read_of(id, "k" + std::to_string(id));
+      r.work = counted ? c.work : 30 * kMs;
+      std::string server = test::sent_to(b.on_request(now, r));
+      at_quick += counted && quick[server];
+      Outcome o = test::ended(id, server, Status::Ok);
+      o.latency = *r.work * (quick[server] ? 1 : 2);
+      o.report = {c.utilization};
+      b.on_outcome(now + o.latency, o);
+    }
+    EXPECT_GE(at_quick, c.least * 1000) << c.utilization << ' ' << c.work;
+    EXPECT_LE(at_quick, c.most * 1000) << c.utilization << ' ' << c.work;
+  }
+}
+
+}  // namespace
+}  // namespace robinseam::limits
