Slack: the pull to the own zone and to the quick kind goes by how free the fleet is

Change: slack() in rules.cpp, 1 to 0, from the cores' utilization, the fullness of servers and what is refused here; it blends the pull's two measures and divides the gain asked of a quicker kind.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,9 +42,9 @@
 // A kind of server is passed over for a request that a quicker kind serves in time by this much
 // likelier, by the same part as foreign segments are: its keys' homes stay few.
 constexpr double kPaceGain = 0.2;
-// Plus what the fleet's cores are busy beyond this: a quick kind that is short itself gains
-// nothing.
-constexpr double kPaceUtil = 0.5;
+// Cores busy up to this leave room to choose among servers, to keep near and to take the quick
+// kind; from here on to 1 what is left is needed wherever it is.
+constexpr double kFreeUtil = 0.5;
 constexpr double kMaxNearPull = 0.9;  // the part of foreign segments a popular key passes over
 constexpr std::size_t kMaxTracked =
     4096;  // keys counted per generation; bounds memory under a scan
@@ -361,13 +361,21 @@
       double fair = sent_rate() / warm_sum;
       borne += (borne <= 0 ? 1 : kBorneGain) * (fair - borne);
     }
-    // Servers of the own zone that shed load loosen the pull to it, as far as the others shed less.
-    double rest = near_weight > 0 && live_sum > 0
-                      ? std::min(1.0, near_live / near_weight * ready / live_sum)
-                      : 0;
+    // Servers of the own zone that shed load loosen the pull to it: while cores are free only as
+    // far as the others shed less, since a little is shed everywhere. At the edge that was worse.
+    double own = near_weight > 0 ? near_live / near_weight : 0;
+    double against = live_sum > 0 ? std::min(1.0, own * ready / live_sum) : 0;
+    double rest = own + (against - own) * slack();
     near_pull = kMaxNearPull * rest * rest;
   }
 
+  /// How free the fleet is, 1 to 0: by its cores, by what it turns away, by what is refused here.
+  double slack() const {
+    double cores = std::clamp((1 - util_mean) / (1 - kFreeUtil), 0.0, 1.0);
+    double refused = std::max(lim.refused(now, false), lim.refused(now, true));
+    return cores * std::max(0.0, 1 - 2 * full) * std::max(0.0, 1 - 2 * refused);
+  }
+
   // ---- saved seeds ----
   /// Own requests over which a key is counted: kWindows times what makes kKeyShare of a fair share.
   double horizon() const { return kWindows * std::max(1.0, live_sum / kKeyShare); }
@@ -470,7 +478,7 @@
 
   /// Whether another kind of server would serve the request in time where this one would not.
   bool too_slow(const Open& o, const ServerState& s) const {
-    double least = kPaceGain + std::max(0.0, util_mean - kPaceUtil);
+    double least = kPaceGain / std::max(0.01, slack() * slack());
     return o.request.work &&
            paces.gain_elsewhere(s.listed.kind, *o.request.work, set.classes[o.cls].aim) > least;
   }
