--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -113,6 +113,18 @@
   EXPECT_EQ(sink.replies, 1);
 }
 
+TEST_F(CoreTest, OutcomesAreCountedByServerUntilTheyAreTaken) {
+  Sink sink;
+  take(read(), sink);
+  end(0, Status::Reset);
+  end(1, Status::Ok);
+  auto counts = core_->take_server_counts();
+  ASSERT_EQ(counts.size(), 2u);
+  EXPECT_EQ(counts[sent_[0].server][static_cast<std::size_t>(Status::Reset)], 1u);
+  EXPECT_EQ(counts[sent_[1].server][static_cast<std::size_t>(Status::Ok)], 1u);
+  EXPECT_TRUE(core_->take_server_counts().empty());
+}
+
 TEST_F(CoreTest, AnAttemptNumberThatNeverWasIsIgnored) {
   Sink sink;
   RequestId id = take(read(), sink);
