--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1116,7 +1116,8 @@
       m.note_success(s);
       s.crowded *= 1 - kFullEases;
       if (!m.is_origin(s)) m.note_latency(s, o.cls, latency, true, r.note <= 1);
-      if (r.note <= 1 && o.request.work) m.paces.note(s.listed.kind, *o.request.work, latency);
+      if (!m.is_origin(s) && r.note <= 1 && o.request.work)
+        m.paces.note(s.listed.kind, *o.request.work, latency);
       break;
     case Status::Miss:
       m.note_success(s);
--- a/tests/limits/pace_test.cpp
+++ b/tests/limits/pace_test.cpp
@@ -91,5 +91,26 @@
   }
 }
 
+// Protects against: caches passed over for a quick origin, which no walk can land on.
+TEST(Paces, TheOriginIsNoKindToCompareWith) {
+  Balancer b(test::aside_settings(), 7, 0);
+  auto list = test::fleet(10);
+  list.push_back(list[0]);
+  list[10].id = "10.0.1.1:80", list[10].kind = "ledger";
+  b.on_list(0, ListScope::Full, list);
+  for (RequestId id = 0; id < 300; ++id) {
+    Request r = test::read_of(id, "k" + std::to_string(id));
+    r.work = 100 * kMs;
+    r.write = id % 2 == 0 && id < 200;
+    std::string server = test::sent_to(b.on_request(Micros(id) * 20 * kMs, r));
+    if (id >= 200) {
+      EXPECT_EQ(server, b.home(r.key)) << id;
+    }
+    Outcome o = test::ended(id, server, Status::Ok);
+    o.latency = r.write ? 20 * kMs : 200 * kMs;
+    b.on_outcome(Micros(id) * 20 * kMs, o);
+  }
+}
+
 }  // namespace
 }  // namespace robinseam::limits
