Pace: kinds that the list names no more are forgotten

The list's kinds are kept, the others go with the servers that have gone; the table of bounds tells both.

--- a/src/limits/pace.hpp
+++ b/src/limits/pace.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "robinseam/balancer.hpp"
@@ -16,6 +17,11 @@
   /// seen from here; both in microseconds, above 0.
   void note(const std::string& kind, Micros work, Micros latency);
 
+  /// Forgets the kinds that are not among `listed`: nothing can be sent there any more.
+  void keep(const std::set<std::string>& listed) {
+    std::erase_if(kinds_, [&](const auto& kind) { return listed.count(kind.first) == 0; });
+  }
+
   /// How much likelier a request of `work` is to be answered within `aim` by the quickest kind that
   /// has been seen than by `kind`, 0 to 1; 0 where either is not known yet.
   double gain_elsewhere(const std::string& kind, Micros work, Micros aim) const;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <string_view>
 #include <unordered_map>
@@ -945,6 +946,9 @@
         if (s.home == i) s.home = -1;
       it = index.erase(it);
     }
+    std::set<std::string> kinds;
+    for (const auto& [id, i] : index) kinds.insert(servers[i].listed.kind);
+    paces.keep(kinds);
   }
 
   void check_settings() const {
--- a/tests/limits/pace_test.cpp
+++ b/tests/limits/pace_test.cpp
@@ -50,6 +50,10 @@
       p.note("k" + std::to_string(kind), 30 * kMs, (kind + 1) * 30 * kMs);
   EXPECT_GT(p.gain_elsewhere("k31", 100 * kMs, 150 * kMs), 0.5);
   EXPECT_EQ(p.gain_elsewhere("k32", 100 * kMs, 150 * kMs), 0);
+  p.keep({"k31"});  // the quick ones have left the list, and others find room
+  EXPECT_EQ(p.gain_elsewhere("k31", 100 * kMs, 150 * kMs), 0);
+  for (int k = 0; k < 20; ++k) p.note("k32", 30 * kMs, 30 * kMs);
+  EXPECT_GT(p.gain_elsewhere("k31", 100 * kMs, 150 * kMs), 0.5);
 }
 
 // Protects against: three in four of the large requests at machines that serve them late, and a
