A connection refused for want of room is no server's fault: an outcome of its own

The module was told Full: note_full() took a fifth of the server's keys away or, over idle cores, held it for an outlier, and the further attempt cost a quarter of a token and was denied while the door shed. A dial refused outright counted against a server whose open connections answered at that moment. Changed: Status::NoRoom, told by ServerSide where the first answer on a connection is busy with the end behind it, or a dial fails while an open connection answered within the dial's time. It is no failure, costs a broken attempt's tenth of a token, and halves the idle time.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -144,7 +144,9 @@
   Moot,           ///< never sent
   Miss,           ///< aside mode: nothing held there for the key
   Spoilt,         ///< answered with what can't be read, or behind such an answer; may have run
+  NoRoom,         ///< the server is well and has no room for one more connection; never ran
 };
+constexpr std::size_t kStatuses = 11;
 
 struct Outcome {
   RequestId id = 0;
@@ -238,7 +240,7 @@
     double late = 0, errors = 0, full = 0, unreachable = 0, spoilt = 0;
     double utilization = 0;  ///< mean of reports lately
     double live = 0;         ///< servers, by the part that is live
-    double near_pull = 0;  ///< part of foreign segments that is passed over, 0 to 1
+    double near_pull = 0;    ///< part of foreign segments that is passed over, 0 to 1
   };
   Stats stats() const;
   /// Where an idle fleet would serve the key's first request now: the server id, or empty.
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -120,7 +120,7 @@
   const std::vector<robinseam::ClassSettings>& classes() const { return classes_; }
   struct Counts {
     std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0, hits = 0, misses = 0;
-    std::array<std::uint64_t, 10> outcomes{};  ///< by Status
+    std::array<std::uint64_t, robinseam::kStatuses> outcomes{};  ///< by Status
     /// By class, in the settings' order; a request whose client has left is under none.
     struct Ends {
       std::uint64_t served = 0, refused = 0, failed = 0;
@@ -128,7 +128,7 @@
     std::vector<Ends> ends;
   };
   const Counts& counts() const { return counts_; }
-  using Outcomes = std::array<std::uint32_t, 10>;  ///< by Status
+  using Outcomes = std::array<std::uint32_t, robinseam::kStatuses>;  ///< by Status
   /// What attempts at each server came to since the last call. Of kMostCounted servers at most:
   /// what ends elsewhere until the next call is under none.
   std::map<std::string, Outcomes> take_server_counts() { return std::exchange(at_servers_, {}); }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -286,7 +286,7 @@
     auto of = [&counts = counts](Status s) { return counts[static_cast<std::size_t>(s)]; };
     unsigned failed = of(Status::Error) + of(Status::Spoilt);
     unsigned given_up = of(Status::Timeout) + of(Status::Cancelled);
-    unsigned unreached = of(Status::ConnectFailed) + of(Status::Reset);
+    unsigned unreached = of(Status::ConnectFailed) + of(Status::Reset) + of(Status::NoRoom);
     unsigned full = of(Status::Full);
     if (failed + full + given_up + unreached == 0) continue;
     char text[160];
@@ -476,8 +476,8 @@
   add("curr_connections", clients_.connections());
   add("connections_meta", clients_.counts().meta);
   add("connections_binary", clients_.counts().binary);
-  const char* const kOutcomes[] = {"ok",    "error",     "full", "timeout", "unreached",
-                                   "reset", "cancelled", "moot", "miss",    "spoilt"};
+  const char* const kOutcomes[] = {"ok",        "error", "full", "timeout", "unreached", "reset",
+                                   "cancelled", "moot",  "miss", "spoilt",  "no_room"};
   for (std::size_t k = 0; k < c.outcomes.size(); ++k)
     all.emplace_back(std::string("attempts_") + kOutcomes[k], std::to_string(c.outcomes[k]));
   add("server_connections", servers_.connections());
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -62,7 +62,8 @@
   double weight = 1;    // as listed
   Micros born = 0;
   Micros no_dial_until = 0;
-  Micros idle_limit = 0;  // a connection idle for longer is not used again
+  Micros answered_at = 0;  // on a connection that had answered before
+  Micros idle_limit = 0;   // a connection idle for longer is not used again
   Micros idle_reset_at = 0;
   std::uint64_t given_up = 0;  // attempts, since the last line of the log
   robinseam::limits::ConnectionBudget budget{0};
@@ -292,10 +293,12 @@
       }
       bool last = answer.last;
       // A server whose table is full takes the connection, says so once and ends it.
-      if (!std::exchange(answered_, true)) {
+      if (std::exchange(answered_, true)) {
+        pool_.answered_at = used_at_;
+      } else {
         bool no_room = answer.status == Status::Full && ended();
-        side_.counts_.no_room += no_room;
-        side_.idle_.dialled(used_at_, no_room);
+        if (no_room) answer.status = Status::NoRoom;
+        side_.note_dial(pool_, no_room);
       }
       if (!last && !std::exchange(pool_.proven, true))
         for (auto& c : pool_.connections) side_.touch(*c);
@@ -449,7 +452,7 @@
       pool.dial = host.dial;
       pool.born = host.server.up_since;
       pool.address = parse_address(host.dial);
-      pool.no_dial_until = 0;
+      pool.no_dial_until = 0, pool.answered_at = 0;
       pool.idle_limit = idle_limit();
       pool.budget = fresh_budget();
       pool.proven = false;
@@ -687,11 +690,23 @@
   --total_;
 }
 
+void ServerSide::note_dial(ServerPool& pool, bool no_room) {
+  Micros now = clock_.now();
+  idle_.dialled(now, no_room);
+  if (!no_room) return;
+  ++counts_.no_room;
+  pool.no_dial_until = now + kDialPause;
+}
+
 /// A full connection table refuses new connections while those that are open work: what waited for
-/// the dial goes behind others then. Where there are none, the server can't be reached.
+/// the dial goes behind others then. Where none is left but one has answered since, the server is
+/// well and has no room; else it can't be reached.
 void ServerSide::failed_dial(ServerConnection& c) {
   ++counts_.failed_dials;
   c.pool_.no_dial_until = clock_.now() + kDialPause;
+  // At an immediate refusal the time for a dial is what a server may have been silent for.
+  bool well = c.pool_.answered_at > 0 && clock_.now() - c.pool_.answered_at <= limits_.dial_timeout;
+  if (well) note_dial(c.pool_, true);
   std::deque<ServerConnection::Entry> waiting = std::move(c.entries_);
   c.entries_.clear();
   ServerPool& pool = c.pool_;
@@ -699,7 +714,9 @@
   for (ServerConnection::Entry& e : waiting) {
     ServerConnection* other = least_loaded(pool, true);
     if (!other) {
-      if (e.live) handler_.on_attempt_end(e.id, e.attempt, Status::ConnectFailed, AttemptResult());
+      if (e.live)
+        handler_.on_attempt_end(e.id, e.attempt, well ? Status::NoRoom : Status::ConnectFailed,
+                                AttemptResult());
       continue;
     }
     other->entries_.push_back(std::move(e));
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -114,6 +114,8 @@
   /// Ends the connection; every attempt on it gets its outcome, those written whole `written`.
   void close(ServerConnection& connection, Status written = Status::Reset);
   void failed_dial(ServerConnection& connection);
+  /// A server has answered a dial: it had room for it, or it is well and had not.
+  void note_dial(ServerPool& pool, bool no_room);
 
   event_base* base_;
   const TimeSource& clock_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -872,7 +872,8 @@
 
   void go_on(Open& o, Status why) {
     if (o.closed || any_out(o)) return;
-    bool broken = why == Status::ConnectFailed || why == Status::Reset || why == Status::Spoilt;
+    bool broken = why == Status::ConnectFailed || why == Status::Reset || why == Status::Spoilt ||
+                  why == Status::NoRoom;
     const ServerState& last = servers[o.attempts.back().server];
     broken |= outlier(last);  // the fault is that server's alone
     limits::Cause cause = broken                                       ? limits::Cause::Broken
@@ -1083,7 +1084,7 @@
   Impl::ServerState& s = m.servers[a.server];
   --s.in_flight, --m.total_in_flight;
   bool never = r.status == Status::Full || r.status == Status::ConnectFailed ||
-               r.status == Status::Moot || r.status == Status::Miss;
+               r.status == Status::Moot || r.status == Status::Miss || r.status == Status::NoRoom;
   a.ran = never ? Impl::Ran::Never : Impl::Ran::Maybe;
   m.note_report(s, r.report);
   // Fullness and silence are judged by what the server's cores do.
@@ -1093,7 +1094,8 @@
     m.note_stall(a, 1);
   else if (r.status == Status::Cancelled && r.held && m.now - a.sent >= m.set.classes[o.cls].aim)
     m.note_given_up(o, a);  // sooner, it is the caller's haste that it tells of
-  else if (r.status != Status::Cancelled && r.status != Status::Moot && !a.stalled)
+  else if (r.status != Status::Cancelled && r.status != Status::Moot &&
+           r.status != Status::NoRoom && !a.stalled)
     m.note_bad(s, r.status != Status::Ok && r.status != Status::Miss, m.own_part(a));
   // Longer than its client waited is no measurement, but a clock that was stepped or stood still.
   Micros latency = std::min(r.latency, std::max<Micros>(o.request.remaining, m.set.tick));
@@ -1108,7 +1110,7 @@
   s.window->ended(m.now, a.sent, 1, load, static_cast<double>(latency) / m.cost_of(o),
                   static_cast<double>(m.set.classes[o.cls].aim) / 2);
   // An outlier's failures tell nothing of the fleet.
-  if (r.status == Status::Ok || !m.outlier(s)) {
+  if (r.status == Status::Ok || (r.status != Status::NoRoom && !m.outlier(s))) {
     follow(m.errors, r.status == Status::Error);
     if (r.status == Status::Ok) follow(m.late, false);
     follow(m.full, r.status == Status::Full);
@@ -1140,7 +1142,8 @@
     case Status::Spoilt:  // it does answer: worth less than silence, and little where all do it
       m.note_failure(s, 0.5, m.spoilt);
       break;
-    case Status::Full:  // overloaded or at fault, not dead
+    case Status::Full:    // overloaded or at fault, not dead
+    case Status::NoRoom:  // other routers' connections fill it
     case Status::Cancelled:
     case Status::Moot:
       break;
--- /dev/null
+++ b/tests/net/dials_test.cpp
@@ -0,0 +1,141 @@
+// Dials that a server has no room for, told from those to a dead one and from a full queue; idle
+// connections that are given back.
+#include <map>
+
+#include "../loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+/// A server side of its own, driven by the test's thread: what a peer writes between two calls of
+/// run() is seen in one turn.
+struct Dials final : ServerSide::Handler {
+  struct Still final : TimeSource {
+    Micros at = 1'000'000 * kSecond;
+    Micros now() const override { return at; }
+  };
+  explicit Dials(const Peer& server, const ServerSide::Limits& limits = {})
+      : side(base.get(), clock, *this, limits, nullptr) {
+    side.take_list(parse_host_list(list_json(1, true, {host_json("s-1", server.address())})));
+  }
+  void on_attempt_end(RequestId id, int, Status status, AttemptResult&&) override {
+    ends[id] = status;
+  }
+  RequestId send() {
+    Request r;
+    r.key = "key", r.id = "d" + std::to_string(++asked), r.type = "read", r.tenant = "acme";
+    side.send("s-1", asked, 0, r, kSecond);
+    run();
+    return asked;
+  }
+  void run() {
+    side.flush();
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    side.flush();
+  }
+  Status end_of(RequestId id) {
+    while (!ends.count(id)) {
+      event_base_loop(base.get(), EVLOOP_ONCE);
+      side.flush();
+    }
+    return ends[id];
+  }
+  /// The connection on which the attempt has come.
+  Link take(Peer& server, RequestId id) {
+    while (side.counts().written < id) run();
+    Link link = server.accept();
+    EXPECT_EQ(link.line().substr(0, 7), "mg key ");
+    return link;
+  }
+  EventBasePtr base{event_base_new()};
+  Still clock;
+  ServerSide side;
+  std::map<RequestId, Status> ends;
+  RequestId asked = 0;
+};
+
+std::string value_for(RequestId id) { return "VA 1 Od" + std::to_string(id) + "\r\nv\r\n"; }
+
+TEST(Dials, WhatAFirstAnswerTellsOfRoom) {
+  struct Case {
+    const char* what;
+    bool answered_before, ends;
+    Status status;
+    std::uint64_t no_room;
+  };
+  const Case cases[] = {{"a full table", false, true, Status::NoRoom, 1},
+                        {"a full queue", false, false, Status::Full, 0},
+                        {"a drain", true, true, Status::Full, 0}};
+  for (const Case& c : cases) {
+    Peer server;
+    Dials dials(server);
+    RequestId id = dials.send();
+    Link link = dials.take(server, id);
+    if (c.answered_before) {
+      link.write(value_for(id));
+      EXPECT_EQ(dials.end_of(id), Status::Ok) << c.what;
+      id = dials.send();
+      link.line();
+    }
+    link.write("SERVER_ERROR busy\r\n");
+    if (c.ends) link.close();
+    EXPECT_EQ(dials.end_of(id), c.status) << c.what;
+    EXPECT_EQ(dials.side.counts().no_room, c.no_room) << c.what;
+    EXPECT_EQ(dials.side.idle_part() < 0.6, c.no_room > 0) << c.what;
+  }
+}
+
+// In the same second: one server that is dead, and one that is well and takes no more connections.
+TEST(Dials, ARefusedHandshakeIsWantOfRoomOnlyWhereOpenConnectionsAnswer) {
+  for (Micros silent : {Micros{0}, kSecond}) {
+    Peer server;
+    ServerSide::Limits limits;
+    limits.streams = 1;
+    Dials dials(server, limits);
+    RequestId first = dials.send();
+    Link link = dials.take(server, first);
+    link.write(value_for(first));
+    EXPECT_EQ(dials.end_of(first), Status::Ok);
+    RequestId second = dials.send();
+    link.line();
+    link.write(value_for(second));
+    EXPECT_EQ(dials.end_of(second), Status::Ok);
+    dials.send();  // stays out
+    server.close();
+    dials.clock.at += silent;
+    RequestId refused = dials.send();
+    EXPECT_EQ(dials.end_of(refused), silent ? Status::ConnectFailed : Status::NoRoom);
+    EXPECT_EQ(dials.side.counts().no_room, silent ? 0u : 1u);
+  }
+}
+
+TEST(Dials, ALargeTierGivesIdleConnectionsBackLongBeforeTheServerEndsThem) {
+  struct Case {
+    int routers;
+    double rate;
+    Micros kept;  // and not for a tenth longer
+  };
+  for (const Case& c :
+       {Case{300, 450, kSecond / 10}, Case{300, 30, 1'620'000}, Case{14, 450, 8'900'000}}) {
+    Peer server;
+    ServerSide::Limits limits;
+    limits.routers = c.routers;
+    limits.tier_rate = c.rate;
+    Dials dials(server, limits);
+    RequestId id = dials.send();
+    Link link = dials.take(server, id);
+    link.write(value_for(id));
+    EXPECT_EQ(dials.end_of(id), Status::Ok);
+    dials.clock.at += c.kept;
+    id = dials.send();  // on the same connection
+    EXPECT_EQ(link.line().substr(0, 7), "mg key ");
+    link.write(value_for(id));
+    EXPECT_EQ(dials.end_of(id), Status::Ok);
+    dials.clock.at += c.kept + c.kept / 10;
+    while (dials.side.connections() > 0) event_base_loop(dials.base.get(), EVLOOP_ONCE);
+    EXPECT_TRUE(link.ends()) << c.routers;
+  }
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -505,6 +505,32 @@
 
 // Protects against: a busy server that turns away one in twenty giving up nearly all its keys, as
 // each refusal counted for 15 s and the many it served for nothing.
+// Protects against: keys that leave a sound server, and retries that are denied, because other
+// routers' idle connections fill its table.
+TEST(Health, AServerWithoutRoomForAConnectionIsNotHeldToBeAtFault) {
+  for (Status status : {Status::NoRoom, Status::Full, Status::ConnectFailed}) {
+    Balancer b(basic_settings(), 1, 0);
+    auto list = fleet(6);
+    b.on_list(0, ListScope::Full, list);
+    RequestId id = 0;
+    int served = 0, asked = 0;
+    for (Micros now = 0; now < 5 * kS; now += 20 * kMs) {
+      ++id, ++asked;
+      std::string server = sent_to(b.on_request(now, read_of(id, "k" + std::to_string(id))));
+      for (int attempt = 0; !server.empty(); ++attempt) {
+        // Half of what comes to the first server finds no room, on its cores that are half idle.
+        bool fails = server == list[0].id && id % 2 == 0;
+        Outcome o = ended(id, server, fails ? status : Status::Ok, attempt);
+        served += !fails;
+        server = sent_to(b.on_outcome(now, o));
+      }
+    }
+    bool no_room = status == Status::NoRoom;
+    EXPECT_EQ(b.live_fraction(list[0].id) >= 0.99, no_room) << static_cast<int>(status);
+    EXPECT_GE(served, asked - (no_room ? 0 : asked / 4)) << static_cast<int>(status);
+  }
+}
+
 TEST(Health, WhatAFullServerGivesUpFollowsTheShareItTurnsAway) {
   Settings s = basic_settings();
   s.report_fields = {ReportField::Utilization};
