The least fetch window is the tier's, paced below one; held keys weigh less at the door

At fault: kFetchRules.least = 1 for every router, so the least is two with two routers and 300 with 300; and admits(), where a key that misses once in five is refused as soon as one to be fetched. Changed: eight fetches may always be out over the tier; a part under one is paced (one fetch, then a pause of at most 5 s, so that each router learns by itself). A held key's request may fill 1 / w times the window, w its chance to miss: refusing it costs (1 - w) of a hit for w of a fetch.

--- a/src/emu/rules.cpp
+++ b/src/emu/rules.cpp
@@ -28,7 +28,7 @@
 /// have under those.
 class Open : public Rule {
  public:
-  bool has_room(double, double) const override { return true; }
+  bool has_room(Micros, double, double) const override { return true; }
   void sent(Micros, double weight) override { out_ += weight; }
   void ended(Micros, Micros, double weight, Evidence, double, double, double) override {
     out_ = std::max(0.0, out_ - weight);
@@ -46,7 +46,7 @@
  public:
   explicit Limiter(double start, double least, double most)
       : limit_(start), start_(start), least_(least), most_(most) {}
-  bool has_room(double weight, double part) const override {
+  bool has_room(Micros, double weight, double part) const override {
     return out_ + weight <= std::max(limit_ * part, weight);
   }
   void ended(Micros now, Micros sent_at, double weight, Evidence evidence, double latency,
@@ -124,9 +124,9 @@
 class EnvoyAdaptive final : public Limiter {
  public:
   EnvoyAdaptive() : Limiter(3, 3, 1000) {}
-  bool has_room(double weight, double part) const override {
+  bool has_room(Micros now, double weight, double part) const override {
     if (probing_) return out_ + weight <= std::max(3.0, weight);
-    return Limiter::has_room(weight, part);
+    return Limiter::has_room(now, weight, part);
   }
 
  private:
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -17,10 +17,13 @@
 // fail so; should all servers break all connections, the bound is max_attempts for a request until
 // the tokens run out.
 constexpr std::array<double, 3> kPrice{0.1, 0.25, 1};
-// Fetches. The origin is shared by all routers and answers a fetch, so few at once reach far.
-// A dozen routers with two each were more than some origins bear, and a cut of a fifth too slow for
-// as many to agree on less.
-constexpr WindowRules kFetchRules{.least = 1, .cut = 0.5, .signals = 2};
+// Fetches. The origin is shared by all routers and answers a fetch, so few at once reach far; a cut
+// of a fifth was too slow for a dozen routers to agree on less.
+constexpr WindowRules kFetchRules{.cut = 0.5, .signals = 2};
+// The least window is the tier's, since one origin must bear the sum: so many fetches may always be
+// out over all its routers, whose part may be less than one. With twelve, a fleet at its capacity
+// did not come out of a jam on one of four seeds; with eight on all (docs/design/limits.md).
+constexpr double kTierFetches = 8;
 constexpr double kMissGain = 0.05;    // of one answer in the shares of misses
 constexpr double kMissUntold = 0.02;  // of one that was never answered
 constexpr double kHeldMisses = 0.05;  // presumed
@@ -40,6 +43,12 @@
 // and up to the most by the part that is refused.
 constexpr Micros kComeBack = 50 * kMilli;
 
+WindowRules fetch_rules(int routers) {
+  WindowRules rules = kFetchRules;
+  rules.least = kTierFetches / std::max(1, routers);
+  return rules;
+}
+
 std::unique_ptr<Rule> made(const RuleMaker& maker, Place place, const WindowRules& usual) {
   return maker ? maker(place) : std::make_unique<Window>(usual);
 }
@@ -48,7 +57,7 @@
 
 Limits::Limits(const Settings& settings, RuleMaker maker)
     : maker_(std::move(maker)),
-      fetches_(made(maker_, Place::Origin, kFetchRules)),
+      fetches_(made(maker_, Place::Origin, fetch_rules(settings.routers))),
       miss_share_{1, kHeldMisses},
       retry_tokens_(kRetryCap / 2),
       copy_tokens_(kCopyCap / 2),
@@ -72,10 +81,11 @@
   double weight = fetch_weight(ask);
   bool in = fetches_->door(now, ask);
   if (in && weight > 0) {
-    double part = ask.write ? kPartWrite : ask.wanted || ask.held ? 1 : kPartRare;
+    // A refused key that is held costs (1 - w) of a hit for w of a fetch.
+    double part = ask.write ? kPartWrite : ask.held ? 1 / weight : ask.wanted ? 1 : kPartRare;
     part *= 1 - (1 - kPartOver) * ask.over_share;
     if (ask.late) part *= kPartLate;
-    in = fetches_->has_room(weight, part);
+    in = fetches_->has_room(now, weight, part);
     // Out of time before it has begun: no fetch is as quick. Not by what fetches take now, which
     // would refuse all until a few had brought that down, then none.
     // And only while fetches end: a floor that none comes to correct would shut the door for good.
--- a/src/limits/limits.hpp
+++ b/src/limits/limits.hpp
@@ -40,9 +40,13 @@
   double part(const Ask& ask) const;
   /// Whether an attempt at a server that is not the key's own has room: what is left of the window
   /// is for keys that nobody holds.
-  bool may_spill(const Ask& ask) const { return fetches_->has_room(spill_weight(ask), kSpillPart); }
+  bool may_spill(Micros now, const Ask& ask) const {
+    return fetches_->has_room(now, spill_weight(ask), kSpillPart);
+  }
   /// Whether a further attempt or copy of an admitted request has room.
-  bool has_room(double fetch_weight) const { return fetches_->has_room(fetch_weight); }
+  bool has_room(Micros now, double fetch_weight) const {
+    return fetches_->has_room(now, fetch_weight);
+  }
 
   void sent(Micros now, double fetch_weight) { fetches_->sent(now, fetch_weight); }
   /// At the server of that index. `note` as Outcome::note. `at_fault`: what single servers do and
--- a/src/limits/rule.hpp
+++ b/src/limits/rule.hpp
@@ -40,8 +40,8 @@
   virtual void seen(Micros /*now*/, const Ask& /*ask*/, Evidence /*evidence*/, Micros /*latency*/) {
   }
 
-  /// Whether `weight` more may go out; `part` of the limit is open to this one, 0 to 1.
-  virtual bool has_room(double weight, double part = 1) const = 0;
+  /// Whether `weight` more may go out; `part` of the limit is open to this one, usually 0 to 1.
+  virtual bool has_room(Micros now, double weight, double part = 1) const = 0;
   virtual void sent(Micros now, double weight) = 0;
   /// The attempt is out no more. `latency` counts with Good; it may be scaled by the request's
   /// cost. `fine`: latencies up to this one are never a signal (0: none). `blame`: the part of a
--- a/src/limits/window.cpp
+++ b/src/limits/window.cpp
@@ -16,12 +16,17 @@
 constexpr double kClear = 1.25;       // mean over floor under which nothing queues
 constexpr Micros kRelaxAfter = 1'000'000;
 constexpr double kRelaxDoubles = 1e6;
+// A router whose part is under one gets its turn this soon, however many there are: it learns from
+// its own turns alone that a jam is over. Past some 90 routers that, and not their least, is what
+// a jammed origin gets.
+constexpr double kMostPause = 5e6;
 constexpr double kGoodEases = 0.5;  // of a signal, a good end takes back
 
 }  // namespace
 
-bool Window::has_room(double weight, double part) const {
+bool Window::has_room(Micros now, double weight, double part) const {
   double room = std::max(rules_.least * std::min(part, 1.0), limit_ * part);
+  if (room < 1 && now < paced_until_) return false;
   // A whole attempt always fits into an empty window.
   return out_ + weight <= std::max(room, weight);
 }
@@ -30,6 +35,11 @@
                    double fine, double blame) {
   double flight = out_;
   out_ = std::max(0.0, out_ - weight);
+  if (limit_ < 1 && weight > 0) {
+    double pause =
+        weight * static_cast<double>(std::max<Micros>(0, now - sent_at)) * (1 / limit_ - 1);
+    paced_until_ = now + static_cast<Micros>(std::min(kMostPause, pause));
+  }
   if (evidence == Evidence::None || weight <= 0) return;
   if (evidence == Evidence::Bad && blame <= 0) return;
   if (latency > 0) {
@@ -53,7 +63,7 @@
   // Computer Networks 55 (2011), which ends slow start by it).
   bool fast = limit_ < slow_start_ || latency_ < kClear * floor_;
   if (out_ + weight >= limit_ / 2)
-    limit_ = std::min(rules_.most, limit_ + weight * (fast ? 1 : 1 / limit_));
+    limit_ = std::min(rules_.most, limit_ + weight * std::min(limit_, fast ? 1 : 1 / limit_));
 }
 
 /// Neither signalled nor filled for kRelaxAfter, the window doubles every second, back to where it
@@ -61,6 +71,8 @@
 /// grows by its answers alone, or it would be filled to a jam over and over.
 void Window::relax(Micros now) {
   if (out_ >= limit_ / 2) filled_at_ = now;
+  Micros paced = std::min(now, paced_until_);  // held back until then, so as good as filled
+  filled_at_ = std::max(filled_at_, paced), relaxed_at_ = std::max(relaxed_at_, paced);
   if (limit_ < rules_.start && now - std::max(signal_at_, filled_at_) > kRelaxAfter)
     limit_ = std::min(rules_.start,
                       limit_ * std::exp2(static_cast<double>(now - relaxed_at_) / kRelaxDoubles));
--- a/src/limits/window.hpp
+++ b/src/limits/window.hpp
@@ -15,7 +15,9 @@
 namespace robinseam::limits {
 
 struct WindowRules {
-  double least = 2;  ///< attempts that may always be out, at least 1
+  /// Attempts that may always be out. Under 1 they are paced: one at a time, and after it a pause
+  /// that makes them so many in the mean.
+  double least = 2;
   /// Before anything is known, and again some seconds after the last signal: a burst over idle
   /// servers passes.
   double start = 256;
@@ -30,7 +32,7 @@
  public:
   explicit Window(const WindowRules& rules) : rules_(rules), limit_(rules.start) {}
 
-  bool has_room(double weight, double part = 1) const override;
+  bool has_room(Micros now, double weight, double part = 1) const override;
   void sent(Micros now, double weight) override {
     relax(now);
     out_ += weight;
@@ -57,6 +59,7 @@
   Micros floor_at_ = 0;
   Micros signal_at_ = 0, filled_at_ = 0, relaxed_at_ = 0;
   Micros cut_at_ = 0;  // what was sent before it has been answered for
+  Micros paced_until_ = 0;
 };
 
 }  // namespace robinseam::limits
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -498,13 +498,13 @@
       if (too_slow(o, s) && depth_of(mix(seed + 1)) < kMaxNearPull) continue;
       if (keep_near && s.listed.zone != set.zone && depth_of(mix(seed)) < near_pull) continue;
       if (!cold_has_room(s, cost)) continue;
-      bool room = s.window->has_room(1, part);
+      bool room = s.window->has_room(now, 1, part);
       if (!room || at_limit(s)) {
         if (room && fallback.server < 0) fallback = {i, seed, fetch};
         if (++passed > kMaxOverflow) return fallback;
         // Elsewhere it is not held: where fetches are short, its home's refusal stands.
         if (passed == 1) fetch = lim.spill_weight(o.ask);
-        if (!lim.may_spill(o.ask)) return fallback;
+        if (!lim.may_spill(now, o.ask)) return fallback;
         continue;
       }
       return {i, seed, fetch};
@@ -886,11 +886,11 @@
     // what jams it. While errors are rare a further attempt costs little and may well serve: one
     // error in three attempts is no reason to refuse. Where fetches are short it is.
     bool futile =
-        why == Status::Error && !broken && (errors > kFutileErrors || !lim.may_spill(o.ask));
+        why == Status::Error && !broken && (errors > kFutileErrors || !lim.may_spill(now, o.ask));
     // Nor anything while requests are refused: a retry would take the place of a first try. Broken
     // connections, spoilt answers and servers at fault are no sign of load, and their share is
     // bounded by the tokens.
-    futile |= !broken && (lim.pressed(now) || !lim.has_room(lim.fetch_weight(o.ask)));
+    futile |= !broken && (lim.pressed(now) || !lim.has_room(now, lim.fetch_weight(o.ask)));
     if (!futile && time_left && lim.spend(cause) && send(o)) return;
     finish(o);
   }
@@ -1208,7 +1208,8 @@
   } else if (kind == kCopyTimer && !o.attempts.empty() && o.attempts.back().ran == Impl::Ran::Out &&
              m.now - o.attempts.back().sent >= m.patience(o) / 2) {
     m.note_stall(o.attempts.back(), 0.5);
-    if (!m.lim.pressed(m.now) && m.lim.has_room(m.lim.fetch_weight(o.ask)) && m.lim.spend_copy())
+    if (!m.lim.pressed(m.now) && m.lim.has_room(m.now, m.lim.fetch_weight(o.ask)) &&
+        m.lim.spend_copy())
       m.send(o);
   }
   m.forget_if_done(id);
--- a/tests/limits/window_test.cpp
+++ b/tests/limits/window_test.cpp
@@ -27,7 +27,7 @@
                      static_cast<double>(due - sent), 0);
       }
       ++asked;
-      if (!window.has_room(1)) {
+      if (!window.has_room(now, 1)) {
         ++refused;
         continue;
       }
@@ -49,7 +49,7 @@
 TEST(Window, ABurstOverIdleServersPassesWithNothingKnown) {
   Window w{WindowRules{}};
   for (int k = 0; k < 200; ++k) {
-    ASSERT_TRUE(w.has_room(1)) << k;
+    ASSERT_TRUE(w.has_room(0, 1)) << k;
     w.sent(0, 1);
   }
 }
@@ -64,6 +64,25 @@
   EXPECT_LE(p.window.out(), rules.least);
 }
 
+// A router's part of a tier's least may be under one: paced, not rounded up to one each.
+TEST(Window, ALeastUnderOneIsPaced) {
+  for (double least : {0.5, 0.2, 0.05}) {
+    WindowRules rules;
+    rules.least = least;
+    Pipe p(rules);
+    p.run(60 * kS, 2 * kMs, 10 * kS);  // nothing is answered
+    EXPECT_NEAR(p.window.limit(), least, 1e-9);
+    int before = p.asked - p.refused;
+    p.run(100 * kS, 2 * kMs, 10 * kS);
+    // Each is out for 0.5 s.
+    EXPECT_NEAR((p.asked - p.refused - before) * 0.5 / 100, std::max(least, 0.5 / 5.5),
+                0.1 * least + 0.01);
+    // Answers open it again, in a few of them, however seldom they are let out.
+    p.run(10 * kS, 2 * kMs, 20 * kMs);
+    EXPECT_EQ(p.refused_in(kS, 50 * kMs, 20 * kMs), 0) << least;
+  }
+}
+
 struct Recovery {
   const char* name;
   Micros gap, latency, trouble, lasts;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -581,7 +581,9 @@
 // Protects against: hits refused along with misses while only the origin is jammed, and further
 // attempts for what jams it.
 TEST(Admission, KeysAnsweredLatelyPassWhileFetchesFail) {
-  Balancer b(basic_settings(), 7, 0);
+  Settings settings = basic_settings();
+  settings.routers = 8;  // of whom each may always have one fetch out
+  Balancer b(settings, 7, 0);
   b.on_list(0, ListScope::Full, fleet(6));
   Delayed fleet(b, [](const std::string& key) {
     return key[0] == 'h' ? std::pair(Status::Ok, 5 * kMs) : std::pair(Status::Timeout, 500 * kMs);
