Discovery: lists that can be read and may not count leave the held one in force

What could not be read was dropped without a count; an empty whole list (take_list, on_list with Full) left the router with no server, an id twice was taken as its last entry, and a version that went back undid changes that were in force. Changed: ListGuard in src/membership, free of I/O, asked by Discovery for each answer; after a refusal the next call asks for the whole list; answers that break off, have no end or no readable head are told and counted (discovery_calls, _failed, discovery_answers_bad).

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -37,8 +37,9 @@
 
 }  // namespace
 
-DiscoveryCall::DiscoveryCall(event_base* base, const std::string& address, Done done)
-    : base_(base), authority_(address), done_(std::move(done)) {
+DiscoveryCall::DiscoveryCall(event_base* base, const std::string& address, Counts& counts,
+                             Done done)
+    : base_(base), authority_(address), counts_(counts), done_(std::move(done)) {
   std::size_t colon = address.rfind(':');
   host_ = address.substr(0, colon);
   if (auto parsed = parse_address(address)) port_ = ntohs(parsed->sin_port);
@@ -49,18 +50,22 @@
 
 void DiscoveryCall::stop() {
   connection_.reset();
+  request_ = nullptr;
   result_.reset();
   event_del(ready_.get());
 }
 
 void DiscoveryCall::start(const std::string& path, Micros limit) {
   stop();
+  ++counts_.calls;
   connection_.reset(evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_));
   evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
+  request_ = request;
   if (!request) {
     event_active(ready_.get(), 0, 0);
     return;
   }
+  evhttp_request_set_error_cb(request, on_error);
   evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
   // For the whole call: evhttp's own time-outs begin again with every byte that trickles in.
@@ -76,6 +81,7 @@
 void DiscoveryCall::on_answer(evhttp_request* request, void* self) {
   auto* call = static_cast<DiscoveryCall*>(self);
   call->result_.reset();
+  call->request_ = nullptr;
   if (request && evhttp_request_get_response_code(request) == 200) {
     evbuffer* body = evhttp_request_get_input_buffer(request);
     std::size_t size = evbuffer_get_length(body);
@@ -84,59 +90,80 @@
     try {
       call->result_ = parse_host_list(text);
     } catch (const ConfigError& e) {
-      std::fprintf(stderr, "arrowfork: discovery: %s\n", e.what());
+      call->bad(e.what());
     }
   }
   event_active(call->ready_.get(), 0, 0);
 }
 
+void DiscoveryCall::bad(const char* what) {
+  ++counts_.bad;
+  std::fprintf(stderr, "arrowfork: discovery %s: %s\n", authority_.c_str(), what);
+}
+
+/// Before on_answer, which then has no request. What could not be reached, or was too slow, is no
+/// bad answer.
+void DiscoveryCall::on_error(evhttp_request_error error, void* self) {
+  auto* call = static_cast<DiscoveryCall*>(self);
+  // Ended without a word is one of discovery's ways to turn a call away.
+  bool begun = call->request_ && evhttp_request_get_response_code(call->request_) != 0;
+  if (error == EVREQ_HTTP_EOF && begun) call->bad("the answer broke off");
+  if (error == EVREQ_HTTP_INVALID_HEADER) call->bad("the answer's head can't be read");
+  if (error == EVREQ_HTTP_DATA_TOO_LONG) call->bad("an answer without end");
+}
+
 void DiscoveryCall::on_ready(evutil_socket_t, short, void* self) {
   auto* call = static_cast<DiscoveryCall*>(self);
   call->connection_.reset();
+  call->request_ = nullptr;
   std::optional<HostList> result = std::exchange(call->result_, std::nullopt);
+  call->counts_.failed += !result;
   call->done_(std::move(result));
 }
 
-Discovery::Discovery(event_base* base, const std::string& address, const std::string& version,
+Discovery::Discovery(event_base* base, const std::string& address, const HostList& known,
                      bool insist, Handler& handler)
     : base_(base),
       handler_(handler),
       insist_(insist),
-      version_(version),
       watch_(watch_at(address)),
       fetch_(fetch_at(address)) {
   again_.reset(event_new(base, -1, 0, on_again, this));
+  guard_.hold(known);
   if (insist_) watch();
 }
 
 Discovery::Call Discovery::watch_at(const std::string& address) {
   return std::make_unique<DiscoveryCall>(
-      base_, address, [this](std::optional<HostList> list) { take(std::move(list)); });
+      base_, address, counts_, [this](std::optional<HostList> list) { take(std::move(list)); });
 }
 
 Discovery::Call Discovery::fetch_at(const std::string& address) {
-  return std::make_unique<DiscoveryCall>(base_, address, [this](std::optional<HostList> list) {
-    if (!list || !list->whole) {
-      handler_.on_hosts_failed();
-      return;
-    }
-    // A list made before changes that the watch has brought since is older than what is held.
-    if (fetch_overlapped_) return;
-    version_ = list->version;
-    handler_.on_hosts(std::move(*list));
-  });
+  return std::make_unique<DiscoveryCall>(base_, address, counts_,
+                                         [this](std::optional<HostList> list) {
+                                           // A list made before changes that the watch has brought
+                                           // since is older than what is held.
+                                           if (list && list->whole && fetch_overlapped_) return;
+                                           if (!list || !list->whole || !may_count(guard_, list)) {
+                                             handler_.on_hosts_failed();
+                                             return;
+                                           }
+                                           handler_.on_hosts(std::move(*list));
+                                         });
 }
 
 /// The new service need not count versions as the old one did, so it is asked for its whole list.
 /// Calls that are out at the old address are not renewed: it takes no new ones.
 void Discovery::move_to(const std::string& address) {
-  if (!version_.empty() || !old_watch_) {  // else it never answered, and the one before still may
+  if (!guard_.version().empty() ||
+      !old_watch_) {  // else it never answered, and the one before still may
     old_watch_ = std::move(watch_);
+    old_guard_ = guard_;
     old_watch_->hand_over([this](std::optional<HostList> list) { take_old(std::move(list)); });
   }
   watch_ = watch_at(address);
   fetch_ = fetch_at(address);
-  version_.clear();
+  guard_.forget_version();
   renewing_ = false;
   moving_ = kMoveTries;
   call();
@@ -145,8 +172,8 @@
 /// The last word of the old address. The list that the new one is making may be older than a change
 /// told here: it is asked anew.
 void Discovery::take_old(std::optional<HostList> list) {
-  if (!list || (!list->whole && list->hosts.empty())) return;
-  if (version_.empty()) call();
+  if (!may_count(old_guard_, list) || (!list->whole && list->hosts.empty())) return;
+  if (guard_.version().empty()) call();
   handler_.on_hosts(std::move(*list));
 }
 
@@ -169,18 +196,29 @@
 
 void Discovery::call() {
   event_del(again_.get());
-  if (version_.empty()) {
+  if (guard_.version().empty() || ask_whole_) {
     watch_->start(kPath, kCallTime);
     return;
   }
   int wait = renewing_ ? kWaitMs : kFirstWaitMs;
   watch_->start(
-      std::string(kPath) + "?index=" + escaped(version_) + "&wait=" + std::to_string(wait),
+      std::string(kPath) + "?index=" + escaped(guard_.version()) + "&wait=" + std::to_string(wait),
       wait * kMillisecond + kCallTime);
 }
 
+bool Discovery::may_count(ListGuard& guard, const std::optional<HostList>& list) {
+  if (!list) return false;
+  std::string fault = guard.refuse(*list);
+  if (fault.empty()) return true;
+  ++counts_.failed, ++counts_.bad;
+  std::fprintf(stderr, "arrowfork: discovery: the held list stays: %s\n", fault.c_str());
+  return false;
+}
+
 void Discovery::take(std::optional<HostList> list) {
-  if (!list) {
+  bool counts = may_count(guard_, list);
+  ask_whole_ = list && !counts;
+  if (!counts) {
     renewing_ = false;
     if (moving_ > 0) {
       --moving_;
@@ -194,7 +232,6 @@
   }
   moving_ = 0;
   old_watch_.reset();
-  version_ = list->version;
   if (list->whole || !list->hosts.empty()) fetch_overlapped_ = true;
   // The next call at once: a watch with gaps is a new one.
   bool news = !list->whole && !list->hosts.empty();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "../io/io.hpp"
+#include "../membership/list_guard.hpp"
 #include "config.hpp"
 
 namespace arrowfork {
@@ -18,7 +19,12 @@
  public:
   /// Gets the list, or nothing where the call failed in any way.
   using Done = std::function<void(std::optional<HostList>)>;
-  DiscoveryCall(event_base* base, const std::string& address, Done done);
+  /// Counts since the start, for the log.
+  struct Counts {
+    std::uint64_t calls = 0, failed = 0;
+    std::uint64_t bad = 0;  ///< of the failed, those that brought what is no list or may not count
+  };
+  DiscoveryCall(event_base* base, const std::string& address, Counts& counts, Done done);
   ~DiscoveryCall();
   DiscoveryCall(const DiscoveryCall&) = delete;
   DiscoveryCall& operator=(const DiscoveryCall&) = delete;
@@ -30,6 +36,8 @@
 
  private:
   static void on_answer(evhttp_request* request, void* self);
+  static void on_error(evhttp_request_error error, void* self);
+  void bad(const char* what);
   static void on_ready(evutil_socket_t, short, void* self);
 
   struct ConnectionFree {
@@ -39,9 +47,11 @@
   std::string host_;
   std::uint16_t port_ = 0;
   std::string authority_;
+  Counts& counts_;
   Done done_;
   std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
-  EventPtr ready_;  // the result is handed on outside of evhttp's own call
+  evhttp_request* request_ = nullptr;  // under way; the connection's own
+  EventPtr ready_;                     // the result is handed on outside of evhttp's own call
   std::optional<HostList> result_;
 };
 
@@ -53,9 +63,9 @@
     virtual void on_hosts(HostList&& list) = 0;
     virtual void on_hosts_failed() = 0;
   };
-  /// `insist`: watch from the start and begin again after failures without being asked to, for
-  /// sites where lists are pushed.
-  Discovery(event_base* base, const std::string& address, const std::string& version, bool insist,
+  /// `known`: the list that is held. `insist`: watch from the start and begin again after failures
+  /// without being asked to, for sites where lists are pushed.
+  Discovery(event_base* base, const std::string& address, const HostList& known, bool insist,
             Handler& handler);
   /// Goes over to another address without a gap: the watch that is out at the old one stays until
   /// the new one has given its whole list, and what it still brings counts.
@@ -65,6 +75,7 @@
   /// Asks for the whole list once.
   void fetch();
   void stop();
+  const DiscoveryCall::Counts& counts() const { return counts_; }
 
  private:
   using Call = std::unique_ptr<DiscoveryCall>;
@@ -73,13 +84,18 @@
   void call();
   void take(std::optional<HostList> list);
   void take_old(std::optional<HostList> list);
+  /// Whether the answer may count; says so where not.
+  bool may_count(ListGuard& guard, const std::optional<HostList>& list);
   void again_in(Micros pause);
   static void on_again(evutil_socket_t, short, void* self);
 
   event_base* base_;
   Handler& handler_;
   bool insist_;
-  std::string version_;
+  DiscoveryCall::Counts counts_;
+  ListGuard guard_;
+  ListGuard old_guard_;     // of the address that was left
+  bool ask_whole_ = false;  // what is held may not be what discovery thinks it is
   bool renewing_ = false;
   bool fetch_overlapped_ = false;
   Call watch_, fetch_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -99,7 +99,7 @@
       core_(make_core(config, clock, *this)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       clients_(base, clock_, core_, servers_, client_limits(config)),
-      discovery_(base, config.discovery, config.known.version, !config.settings.must_ask, *this),
+      discovery_(base, config.discovery, config.known, !config.settings.must_ask, *this),
       ban_file_(state_path(config, ".bans")) {
   timer_event_.reset(event_new(base, -1, 0, on_timer, this));
   stop_event_.reset(event_new(base, -1, 0, on_stop_step, this));
@@ -486,6 +486,9 @@
   add("server_connections_kept", s.kept);
   add("server_dials_no_room", s.no_room);
   add("server_wrong_protocol", s.wrong_protocol);
+  add("discovery_calls", discovery_.counts().calls);
+  add("discovery_calls_failed", discovery_.counts().failed);
+  add("discovery_answers_bad", discovery_.counts().bad);
   add("servers", m.servers);
   add("servers_live", m.live);
   add("shed_fetched", m.shed_fetched);
--- /dev/null
+++ b/tests/net/discovery_test.cpp
@@ -0,0 +1,86 @@
+// Discovery's bad answers: what is held stays, each is counted, and a good one is taken after it.
+#include "net/discovery.hpp"
+
+#include "../loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+std::string head(std::size_t length, const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status +
+         "\r\nConnection: close\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+std::string whole(const std::string& body) { return head(body.size()) + body; }
+
+/// One watch without a router behind it; the peer answers one call with `response` and closes.
+struct Asked final : Discovery::Handler {
+  explicit Asked(const HostList& known)
+      : discovery(base.get(), peer.address(), known, false, *this) {}
+  void on_hosts(HostList&& list) override { taken.push_back(std::move(list)); }
+  void on_hosts_failed() override { ++failed; }
+  /// The path that was asked for.
+  std::string ask(const std::string& response) {
+    std::string path;
+    std::thread answerer([&] {
+      Link call = peer.accept();
+      path = call.line();
+      for (std::string header = call.line(); header.size() > 2;) header = call.line();
+      // The router may end the connection before an answer without end is through.
+      ::send(call.fd(), response.data(), response.size(), MSG_NOSIGNAL);
+    });
+    std::size_t before = taken.size() + static_cast<std::size_t>(failed);
+    discovery.watch();
+    while (taken.size() + static_cast<std::size_t>(failed) == before)
+      event_base_loop(base.get(), EVLOOP_ONCE);
+    answerer.join();
+    discovery.stop();
+    return path.substr(4, path.find(' ', 4) - 4);
+  }
+  Peer peer;
+  EventBasePtr base{event_base_new()};
+  Discovery discovery;
+  std::vector<HostList> taken;
+  int failed = 0;
+};
+
+TEST(DiscoveryAnswers, ABadOneChangesNothingIsCountedAndAGoodOneFollows) {
+  const std::string one = host_json("s-1", "127.0.0.1:1"), two = host_json("s-2", "127.0.0.1:2");
+  const std::string good = list_json(5, true, {one, two});
+  struct Case {
+    const char* what;
+    std::string response;
+    bool bad, asks_whole;
+  };
+  const Case cases[] = {
+      {"cut in the middle of an entry", head(good.size()) + good.substr(0, good.size() - 40), true,
+       false},
+      {"a whole answer that holds half a list", whole(good.substr(0, good.size() - 40)), true,
+       false},
+      {"10 MB", whole(good + std::string(10u << 20, ' ')), true, false},
+      {"an id twice", whole(list_json(5, false, {one, two, one})), true, true},
+      {"an unknown state", whole(list_json(5, false, {host_json("s-1", "127.0.0.1:1", "asleep")})),
+       true, false},
+      {"a version that goes back", whole(list_json(3, false, {two})), true, true},
+      {"an empty list", whole(list_json(5, true, {})), true, true},
+      {"a head that can't be read", "what?\r\n\r\n", true, false},
+      {"nothing at all", "", false, false},
+      {"turned away", head(0, "503 Service Unavailable"), false, false},
+  };
+  for (const Case& c : cases) {
+    Asked asked(parse_host_list(list_json(4, true, {one})));
+    EXPECT_EQ(asked.ask(c.response), "/discovery/hosts?index=4&wait=1") << c.what;
+    EXPECT_EQ(asked.failed, 1) << c.what;
+    EXPECT_TRUE(asked.taken.empty()) << c.what;
+    EXPECT_EQ(asked.discovery.counts().failed, 1u) << c.what;
+    EXPECT_EQ(asked.discovery.counts().bad, c.bad ? 1u : 0u) << c.what;
+    EXPECT_EQ(asked.ask(whole(good)),
+              c.asks_whole ? "/discovery/hosts" : "/discovery/hosts?index=4&wait=1")
+        << c.what;
+    ASSERT_EQ(asked.taken.size(), 1u) << c.what;
+    EXPECT_EQ(asked.taken[0].hosts.size(), 2u) << c.what;
+    EXPECT_EQ(asked.discovery.counts().bad, c.bad ? 1u : 0u) << c.what;
+  }
+}
+
+}  // namespace
+}  // namespace arrowfork::test
