--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -128,9 +128,10 @@
   std::string key;             ///< requests of one key go together; may be empty
   Micros remaining = 0;        ///< until the client gives this try up
   std::optional<Micros> work;  ///< expected work, as time on a standard core
-  bool repeat = false;
+  bool repeat = false;         ///< its client marked it as its own further try
   bool write = false;
-  bool unkeyed = false;  ///< bears no idempotency key: in a Keyed class it is treated as Once
+  bool unkeyed = false;     ///< bears no idempotency key: in a Keyed class it is treated as Once
+  std::string idempotency;  ///< a keyed write's; empty: its tries can't be told to be the same
 };
 
 enum class Status {
@@ -241,9 +242,12 @@
     double fetch_limit = 0, fetches_out = 0;  ///< fetches from the origin: may be out, and are
     /// Per attempt lately.
     double late = 0, errors = 0, full = 0, unreachable = 0, spoilt = 0;
-    double utilization = 0;  ///< mean of reports lately
-    double live = 0;         ///< servers, by the part that is live
-    double near_pull = 0;    ///< part of foreign segments that is passed over, 0 to 1
+    double utilization = 0;              ///< mean of reports lately
+    double live = 0;                     ///< servers, by the part that is live
+    double near_pull = 0;                ///< part of foreign segments that is passed over, 0 to 1
+    int came_back = 0;                   ///< 0: not settled, 1: alone, 2: with others of its tier
+    std::size_t writes_known = 0;        ///< keyed writes whose first send is remembered
+    std::uint64_t writes_forgotten = 0;  ///< before their time, for want of room
   };
   Stats stats() const;
   /// Where an idle fleet would serve the key's first request now: the server id, or empty.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -300,6 +300,7 @@
       r.repeat = open.request.repeat;
       r.write = open.request.write;
       r.unkeyed = open.request.write && !open.request.keyed;
+      if (open.request.keyed) r.idempotency = open.request.idempotency;
       set_timer(open.deadline, Due::Expiry, e->id, -1);
       perform("request", e->id, now, balancer_.on_request(now, r));
     } else if (auto* e = std::get_if<GoneEvent>(&event)) {
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -64,6 +64,7 @@
       retry_tokens_(kRetryCap / 2 * recovery::start_part(settings.routers)),
       broken_tokens_(kRetryCap / 2 - retry_tokens_),
       copy_tokens_(kCopyCap / 2 * recovery::start_part(settings.routers)),
+      held_part_(1 - recovery::start_part(settings.routers)),
       max_wait_(settings.max_retry_after) {}
 
 std::unique_ptr<Rule> Limits::server_rule() const {
@@ -129,6 +130,12 @@
   copy_tokens_ = std::min(kCopyCap, copy_tokens_ + kCopyPerRequest);
 }
 
+void Limits::came_alone() {
+  retry_tokens_ = std::min(kRetryCap, retry_tokens_ + kRetryCap / 2 * held_part_);
+  copy_tokens_ = std::min(kCopyCap, copy_tokens_ + kCopyCap / 2 * held_part_);
+  held_part_ = 0;
+}
+
 bool Limits::spend(Cause cause) {
   double price = kPrice[static_cast<std::size_t>(cause)];
   // What a router begins with beyond its part of the tier's is for broken attempts alone, and until
--- a/src/limits/limits.hpp
+++ b/src/limits/limits.hpp
@@ -64,6 +64,8 @@
   bool spend_copy();
   /// Discovery has confirmed which servers there are.
   void list_told() { broken_tokens_ = 0; }
+  /// It is settled that no others came back: what was held back for them at the begin is given.
+  void came_alone();
   /// Requests are being refused now: what is spare goes to first tries.
   bool pressed(Micros now) const;
   /// How long a refused client should stay away; `chance` 0 to 1 spreads it.
@@ -92,6 +94,7 @@
   Micros refused_at_ = -1;
   Micros fetch_ended_at_ = 0;
   double retry_tokens_, broken_tokens_, copy_tokens_;
+  double held_part_;  // of what one alone begins with
   Micros max_wait_;
 };
 
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -74,6 +74,10 @@
   robinseam::recovery::Recovery::View back = recovery_.view(clock_.now());
   all.emplace_back("recovery", robinseam::recovery::name_of(back.phase));
   add("recovery_since_ms", (clock_.now() - back.since) / kMillisecond);
+  const char* const company[] = {"unknown", "alone", "together"};
+  all.emplace_back("came_back", company[m.came_back]);
+  add("writes_known", m.writes_known);
+  add("writes_forgotten", m.writes_forgotten);
   all.emplace_back("list_version", discovery_.version().empty() ? "none" : discovery_.version());
   add("list_age_ms", back.list_age < 0 ? -1 : back.list_age / kMillisecond);
   add("list_old", back.old ? 1 : 0);
--- a/src/rig/settings_json.cpp
+++ b/src/rig/settings_json.cpp
@@ -18,6 +18,17 @@
   }
 }
 
+const char* word_of(robinseam::Group group) {
+  switch (group) {
+    case robinseam::Group::Zone:
+      return "zone";
+    case robinseam::Group::Cell:
+      return "cell";
+    default:
+      return "all";
+  }
+}
+
 }  // namespace
 
 std::string settings_json(const robinseam::Settings& s, int routers) {
@@ -27,7 +38,7 @@
                        {"ObjectiveUs", c.aim},
                        {"DeadlineUs", c.deadline},
                        {"Effect", c.effect == robinseam::Effect::Keyed ? "by_key" : "repeatable"},
-                       {"Group", "all"},
+                       {"Group", word_of(c.group)},
                        {"KeyTtlUs", c.key_ttl},
                        {"Worth", c.worth},
                        {"LateWorth", c.late_worth}});
--- a/src/rig/storm_tills.cpp
+++ b/src/rig/storm_tills.cpp
@@ -33,6 +33,7 @@
   int router, banner;
   Micros begun, aim, deadline;
   int tries = 0;
+  bool unsure = false;  // a try was on its way when its connection broke: it may have run
   bool asked = false;  // before
   Micros again_at = 0;  // a further try is due then; 0: one is out
 };
@@ -65,7 +66,7 @@
     std::string tail = " O" + id_ + " Pc=" + r.type + ",t=" + r.tenant +
                        ",d=" + std::to_string(std::max<Micros>(1, patience / kMillisecond));
     if (r.work) tail += ",h=" + std::to_string(*r.work);
-    if (tills_.ways_.marks_retry && job_->tries > 1) tail += ",r=1";
+    if (tills_.ways_.marks_retry && (job_->tries > 1 || job_->unsure)) tail += ",r=1";
     out_ = r.write ? "ms " + r.key + " " + std::to_string(r.value->size()) + tail +
                          ",k=" + r.idempotency + "\r\n" + *r.value + "\r\n"
                    : "mg " + r.key + " v" + tail + "\r\n";
@@ -113,6 +114,7 @@
     if (!job_) return;
     if (answered_ || !sent_) {
       --job_->tries;
+      job_->unsure |= sent_;
       tills_.tell(number_, End::Unreached);
       if (!sent_) ++tills_.counts_.not_sent;
       return give_back(false, sent_ ? 0 : kUnreachedPause);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -5,18 +5,23 @@
 #include <cmath>
 #include <map>
 #include <set>
-#include <stdexcept>
 #include <string_view>
 #include <unordered_map>
 
+#include "limits/checks.hpp"
+#include "limits/draws.hpp"
 #include "limits/limits.hpp"
 #include "limits/pace.hpp"
 #include "recovery/asking.hpp"
+#include "recovery/company.hpp"
+#include "recovery/writes.hpp"
 #include "robinseam/balancer.hpp"
 
 namespace robinseam {
 namespace {
 
+using limits::hash_name, limits::mix, limits::next_draw;
+
 // ---- tunables ----
 constexpr Micros kSecond = 1'000'000;
 // Segments. 2^15 slots with 32 for a unit of weight: about 1% of the interval for ten servers, 25%
@@ -114,23 +119,6 @@
 constexpr double kRateSpan = 5;  // seconds over which rates fade
 constexpr Micros kRefresh = kSecond / 10;  // fleet-wide sums are renewed this often
 
-std::uint64_t mix(std::uint64_t x) {  // splitmix64 finalizer
-  x += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
-std::uint64_t hash_name(std::string_view name) {  // FNV-1a, then mixed
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (unsigned char c : name) h = (h ^ c) * 0x100000001b3ULL;
-  return mix(h);
-}
-
-std::uint64_t next_draw(std::uint64_t seed) {  // Knuth's MMIX generator
-  return seed * 6364136223846793005ULL + 1442695040888963407ULL;
-}
-
 int slot_of(std::uint64_t draw) { return static_cast<int>(draw >> (64 - kSlotBits)); }
 /// Where within its slot a draw lands, 0 to 1.
 double depth_of(std::uint64_t draw) {
@@ -142,10 +130,6 @@
 
 enum TimerKind : std::uint64_t { kDeadlineTimer, kCopyTimer, kAskTimer };
 
-void require(bool ok, const std::string& name) {
-  if (!ok) throw std::invalid_argument("setting " + name + " cannot be used");
-}
-
 }  // namespace
 
 struct Balancer::Impl {
@@ -186,9 +170,10 @@
   struct Open {
     Request request;
     int cls = 0;
-    int seen = 0;            // times its key came lately
-    bool held = false;       // its key is likely held by a server
-    std::uint64_t name = 0;  // hash of its key
+    int seen = 0;             // times its key came lately
+    bool held = false;        // its key is likely held by a server
+    std::uint64_t name = 0;   // hash of its key
+    std::uint64_t write = 0;  // of its idempotency key and class; 0: it bears none
     std::uint64_t seed = 0;
     Micros came = 0;
     Micros first = 0;  // when its client's first try came, as far as known
@@ -206,7 +191,11 @@
   };
 
   Impl(const Settings& settings, const limits::RuleMaker& rules)
-      : set(settings), lim(settings, rules), asks(settings.routers, settings.ask_within) {}
+      : set(settings),
+        lim(settings, rules),
+        asks(settings.routers, settings.ask_within),
+        writes(settings.classes),
+        company(settings.routers, 0) {}
 
   Settings set;
   std::uint64_t rng;
@@ -255,6 +244,8 @@
   // list
   bool watching = false, asking = false;
   recovery::Asking asks;
+  recovery::Writes writes;
+  recovery::Company company;
   std::uint64_t ask_token = 0;
   Micros ask_at = 0;  // when the next call is due
   std::uint64_t draws = 0, turned_away = 0, unsendable = 0, given_up = 0;
@@ -743,6 +734,9 @@
     if (!set.second_copies && any_out(o)) return false;
     const ClassSettings& c = set.classes[o.cls];
     if (effect_of(o) == Effect::Repeatable) return true;
+    // What earlier tries of the write may have done binds as well.
+    if (const recovery::Writes::First* first = o.write ? writes.first(o.write) : nullptr)
+      if (!recovery::Writes::drops(c, *first, now + 2 * set.tick, to.listed)) return false;
     for (const Attempt& a : o.attempts) {
       if (a.ran == Ran::Never) continue;
       if (effect_of(o) == Effect::Once) return false;
@@ -756,7 +750,9 @@
 
   bool may_refuse(const Open& o) const {
     const ClassSettings& c = set.classes[o.cls];
-    if (effect_of(o) == Effect::Repeatable || !may_have_run(o)) return true;
+    const recovery::Writes::First* first = o.write ? writes.first(o.write) : nullptr;
+    if (effect_of(o) == Effect::Repeatable || !(first || may_have_run(o))) return true;
+    if (first && now + 2 * set.tick >= first->sent + c.key_ttl) return false;  // not harmless then
     return effect_of(o) == Effect::Keyed && c.group == Group::All;
   }
 
@@ -868,6 +864,7 @@
     trials += s.returned_at > 0 && s.doubt > 0;
     o.attempts.push_back({server, now});
     o.attempts.back().fetch = fetch;
+    if (o.write) writes.sent(now, o.write, s.listed);
     s.window->sent(now, 1);
     lim.sent(now, o.attempts.back().fetch);
     ++s.in_flight, ++s.kept, ++total_in_flight;
@@ -914,6 +911,11 @@
   }
 
   // ---- list ----
+  void saw(int source, bool trouble) {
+    company.saw(now, source, trouble);
+    if (company.freed()) lim.came_alone();
+  }
+
   void ask(Micros after) {
     ask_at = now + after;
     timer(after, ++ask_token, kAskTimer);
@@ -921,6 +923,7 @@
 
   void list_failed() {
     watching = asking = false;
+    saw(recovery::Company::kDiscovery, true);
     ask(asks.failed(random()));
   }
 
@@ -978,35 +981,6 @@
     paces.keep(kinds);
   }
 
-  void check_settings() const {
-    auto part = [](double v) { return std::isfinite(v) && v >= 0 && v <= 1; };
-    auto amount = [](double v) { return std::isfinite(v) && v >= 0; };
-    require(!set.classes.empty(), "classes");
-    for (const ClassSettings& c : set.classes) {
-      require(c.aim >= 0, "classes.aim");
-      require(c.deadline >= 0, "classes.deadline");
-      require(c.key_ttl >= 0, "classes.key_ttl");
-      require(amount(c.worth), "classes.worth");
-      require(amount(c.late_worth), "classes.late_worth");
-    }
-    for (const TenantSettings& t : set.tenants) {
-      require(amount(t.portion), "tenants.portion");
-      require(amount(t.quota_per_s), "tenants.quota_per_s");
-    }
-    require(set.routers >= 1, "routers");
-    require(set.max_attempts >= 1, "max_attempts");
-    require(set.tick >= 0, "tick");
-    require(set.answer_slack >= 0, "answer_slack");
-    require(set.ask_within >= 0, "ask_within");
-    require(set.drain_grace >= 0, "drain_grace");
-    require(set.max_retry_after >= 0, "max_retry_after");
-    require(part(set.cold_share), "cold_share");
-    require(set.cold_time >= 0, "cold_time");
-    require(amount(set.overload_factor), "overload_factor");
-    require(set.tip_after >= 0, "tip_after");
-    require(amount(set.cross_zone_charge), "cross_zone_charge");
-  }
-
   void tick(Micros t) {
     now = std::max(now, t);
     out.clear();
@@ -1017,8 +991,9 @@
                    const limits::RuleMaker& rules)
     : impl_(std::make_unique<Impl>(settings, rules)) {
   Impl& m = *impl_;
-  m.check_settings();
+  limits::check_settings(settings);
   m.rng = mix(seed);
+  m.company = recovery::Company(settings.routers, now);
   m.now = m.born = m.rate_at = m.generation_at = now;
   m.classes.resize(settings.classes.size());
   m.tenant_rate.resize(settings.tenants.size());
@@ -1052,6 +1027,13 @@
   }
   for (const Server& e : entries) m.take_entry(e);
   m.forget_gone();
+  if (scope == ListScope::Full) {
+    auto all = [&](auto test) {
+      return static_cast<int>(std::count_if(m.servers.begin(), m.servers.end(), test));
+    };
+    m.company.list(m.now, all([&](const auto& s) { return m.usable(s); }),
+                   all([&](const auto& s) { return m.usable(s) && m.cold(s); }));
+  }
   m.carve();
   m.asks.hold(std::any_of(m.servers.begin(), m.servers.end(),
                           [&](const Impl::ServerState& s) { return m.usable(s); }));
@@ -1072,6 +1054,12 @@
   o.came = m.now;
   o.deadline = m.now + std::max<Micros>(0, request.remaining);
   o.name = hash_name(request.key);
+  if (request.write && m.effect_of(o) == Effect::Keyed && !request.idempotency.empty()) {
+    m.writes.expire(m.now);
+    o.write = mix(hash_name(request.idempotency) + static_cast<std::uint64_t>(o.cls));
+    // Its first try may have been at another router, or here before a restart.
+    if (request.repeat) m.writes.presume(m.now, o.write, m.set.classes[o.cls].deadline);
+  }
   o.first = m.lim.repeats().take(m.now, m.try_name(o), m.set.classes[o.cls].deadline);
   m.count_arrival(o);
   if (!request.key.empty()) m.count_key(o);
@@ -1116,6 +1104,9 @@
   bool never = r.status == Status::Full || r.status == Status::ConnectFailed ||
                r.status == Status::Moot || r.status == Status::Miss || r.status == Status::NoRoom;
   a.ran = never ? Impl::Ran::Never : Impl::Ran::Maybe;
+  if (never && o.write) m.writes.never_ran(o.write);
+  bool turned_off = r.status == Status::Full || r.status == Status::NoRoom;
+  if (turned_off || r.status == Status::Ok) m.saw(a.server, turned_off);
   m.note_report(s, r.report);
   // Fullness and silence are judged by what the server's cores do.
   if (r.status == Status::Full)
@@ -1274,6 +1265,8 @@
   s.spoilt = m.spoilt;
   s.utilization = m.util_mean;
   s.live = m.live_sum, s.near_pull = m.near_pull;
+  s.came_back = static_cast<int>(m.company.verdict());
+  s.writes_known = m.writes.kept(), s.writes_forgotten = m.writes.forgotten();
   return s;
 }
 
--- a/src/tier/scenario.cpp
+++ b/src/tier/scenario.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::array<Named<Known>, 3> kKnown{
     {{"now", Known::Now}, {"none", Known::None}, {"old", Known::Old}}};
+constexpr std::array<Named<robinseam::Group>, 3> kGroups{{{"all", robinseam::Group::All},
+                                                          {"zone", robinseam::Group::Zone},
+                                                          {"cell", robinseam::Group::Cell}}};
 constexpr std::array<Named<Action::Verb>, 11> kVerbs{{{"kill", Action::Verb::Kill},
                                                       {"term", Action::Verb::Term},
                                                       {"stop", Action::Verb::Stop},
@@ -270,6 +273,8 @@
       r.integer("tries", s.tries, 1, 100);
       r.span("pause", s.pause, 0, kLongest);
       r.flag("marks_retry", s.marks_retry);
+      r.span("key_ttl", s.key_ttl, kMillisecond, kLongest);
+      named(r, "group", kGroups, s.group);
       r.flag("elsewhere", s.elsewhere);
       r.span("notice", s.notice, 0, kLongest);
     });
--- a/src/tier/scenario.hpp
+++ b/src/tier/scenario.hpp
@@ -105,8 +105,10 @@
   int keys = 1'000, tries = 1;
   Micros pause = 0;
   bool marks_retry = false;
-  bool elsewhere = true;              ///< a further try goes to another router
-  Micros notice = kSecond;            ///< until the front sees that a router has died
+  Micros key_ttl = 5 * kSecond;                    ///< so long caches drop repeats of a write
+  robinseam::Group group = robinseam::Group::All;  ///< of caches that drop each other's repeats
+  bool elsewhere = true;                           ///< a further try goes to another router
+  Micros notice = kSecond;                         ///< until the front sees that a router has died
   Micros slack = 250 * kMillisecond;  ///< what this machine may take on top of the rules' times
   Micros ask_within = 10 * kSecond;
   Micros cold_time = 8 * kSecond;
--- a/src/tier/stage.cpp
+++ b/src/tier/stage.cpp
@@ -42,7 +42,7 @@
       o_(options),
       base_(rig::precise_base()),
       discovery_(base_.get()),
-      effects_(5 * kSecond),
+      effects_(scenario.key_ttl),
       random_(scenario.seed) {
   rlimit limit{};
   ::getrlimit(RLIMIT_NOFILE, &limit);
@@ -81,6 +81,7 @@
   settings.must_ask = true;
   settings.ask_within = s_.ask_within;
   settings.cold_time = s_.cold_time;
+  settings.classes[1].key_ttl = s_.key_ttl, settings.classes[1].group = s_.group;
   double capacity =
       s_.caches * s_.cores * static_cast<double>(kSecond) / static_cast<double>(s_.work);
   for (auto& tenant : settings.tenants) tenant.quota_per_s = tenant.portion * capacity;
