--- /dev/null
+++ b/src/store/committer.cpp
@@ -0,0 +1,78 @@
+#include "store/committer.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace wheeldeal::store {
+namespace {
+
+constexpr auto kPatience = std::chrono::seconds(2);
+
+}  // namespace
+
+struct Committer::Shared {
+  std::mutex lock;
+  std::condition_variable changed;
+  State state;
+  Store::Batch batch;
+  std::uint64_t now = 0;
+  bool offered = false, stop = false, ended = false;
+};
+
+Committer::Committer(std::shared_ptr<Journal> journal) : shared_(std::make_shared<Shared>()) {
+  shared_->state.durable = journal->durable();
+  shared_->state.disk_bytes = journal->bytes();
+  thread_ = std::thread([shared = shared_, journal] {
+    std::unique_lock lock(shared->lock);
+    while (true) {
+      shared->changed.wait(lock, [&] { return shared->offered || shared->stop; });
+      if (!shared->offered) break;
+      shared->offered = false;
+      Store::Batch batch = std::move(shared->batch);
+      std::uint64_t now = shared->now;
+      lock.unlock();
+      Fault fault = journal->commit(batch.records, batch.first, batch.last);
+      bool kept = fault == Fault::None;
+      // A disk without room for more changes may have it once it holds each key once.
+      bool compacts = (kept && journal->wants_compaction()) || fault == Fault::Full;
+      Fault compacted = compacts ? journal->compact(now) : Fault::None;
+      lock.lock();
+      State& s = shared->state;
+      if (kept) s.durable = batch.last, ++s.commits;
+      s.failed += !kept;
+      s.compactions += compacts && compacted == Fault::None;
+      s.fault = kept ? compacted : fault;
+      s.disk_bytes = journal->bytes();
+      s.busy = false;
+      shared->changed.notify_all();
+    }
+    shared->ended = true;
+    shared->changed.notify_all();
+  });
+}
+
+Committer::~Committer() {
+  std::unique_lock lock(shared_->lock);
+  shared_->stop = true;
+  shared_->changed.notify_all();
+  bool ended = shared_->changed.wait_for(lock, kPatience, [&] { return shared_->ended; });
+  lock.unlock();
+  ended ? thread_.join() : thread_.detach();
+}
+
+Committer::State Committer::state() const {
+  std::lock_guard lock(shared_->lock);
+  return shared_->state;
+}
+
+bool Committer::offer(const Store::Batch& batch, std::uint64_t now) {
+  std::lock_guard lock(shared_->lock);
+  if (shared_->state.busy || batch.last == 0) return false;
+  shared_->batch = batch;
+  shared_->now = now;
+  shared_->offered = shared_->state.busy = true;
+  shared_->changed.notify_all();
+  return true;
+}
+
+}  // namespace wheeldeal::store
--- /dev/null
+++ b/src/store/format.cpp
@@ -0,0 +1,124 @@
+#include "store/format.hpp"
+
+#include <boost/crc.hpp>
+
+namespace wheeldeal::store {
+namespace {
+
+constexpr std::uint8_t kEnds = 0x80;
+constexpr std::string_view kMagic = "WDSTORE\n";
+
+template <class T>
+void put(std::string& bytes, T value) {
+  for (std::size_t k = 0; k < sizeof value; ++k)
+    bytes.push_back(static_cast<char>(static_cast<std::uint64_t>(value) >> (8 * k)));
+}
+
+template <class T>
+T got(std::string_view bytes, std::size_t at) {
+  std::uint64_t value = 0;
+  for (std::size_t k = 0; k < sizeof(T); ++k)
+    value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[at + k])) << (8 * k);
+  return static_cast<T>(value);
+}
+
+}  // namespace
+
+std::uint32_t crc32c(std::string_view bytes) {
+  boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
+  crc.process_bytes(bytes.data(), bytes.size());
+  return crc.checksum();
+}
+
+std::string text_of(const Header& header) {
+  std::string bytes(kMagic);
+  put(bytes, header.version);
+  put(bytes, static_cast<std::uint32_t>(header.kind));
+  put(bytes, header.base);
+  put(bytes, crc32c(bytes));
+  put(bytes, std::uint32_t{0});
+  return bytes;
+}
+
+std::optional<Header> header_of(std::string_view bytes) {
+  if (bytes.size() < kFileHeader || bytes.substr(0, kMagic.size()) != kMagic) return std::nullopt;
+  if (got<std::uint32_t>(bytes, 24) != crc32c(bytes.substr(0, 24))) return std::nullopt;
+  Header h;
+  h.version = got<std::uint32_t>(bytes, 8);
+  h.kind = static_cast<Kind>(got<std::uint32_t>(bytes, 12));
+  h.base = got<std::uint64_t>(bytes, 16);
+  return h;
+}
+
+void append(std::string& bytes, const Record& r) {
+  std::size_t begin = bytes.size();
+  put(bytes, std::uint32_t{0});
+  put(bytes, std::uint32_t{0});
+  put(bytes, r.sequence);
+  put(bytes, static_cast<std::uint8_t>(static_cast<std::uint8_t>(r.type) | (r.ends ? kEnds : 0)));
+  if (r.type == Type::Put || r.type == Type::Doubted)
+    put(bytes, r.expires), put(bytes, static_cast<std::uint16_t>(r.key.size()));
+  if (r.type == Type::End) put(bytes, r.count);
+  bytes.append(r.key).append(r.value);
+  std::string size, crc;
+  put(size, static_cast<std::uint32_t>(bytes.size() - begin - kRecordHeader));
+  bytes.replace(begin + 4, 4, size);
+  put(crc, crc32c(std::string_view(bytes).substr(begin + 4)));
+  bytes.replace(begin, 4, crc);
+}
+
+void end_commit(std::string& bytes, std::size_t at) {
+  bytes[at + kRecordHeader - 1] = static_cast<char>(bytes[at + kRecordHeader - 1] | kEnds);
+  std::string crc;
+  put(crc, crc32c(std::string_view(bytes).substr(at + 4)));
+  bytes.replace(at, 4, crc);
+}
+
+bool Reader::read_at(std::size_t at, Record& r, std::size_t& size) const {
+  if (bytes_.size() - at < kRecordHeader) return false;
+  auto body = got<std::uint32_t>(bytes_, at + 4);
+  if (body > most_ || bytes_.size() - at - kRecordHeader < body) return false;
+  std::string_view whole = bytes_.substr(at, kRecordHeader + body);
+  if (got<std::uint32_t>(whole, 0) != crc32c(whole.substr(4))) return false;
+  r = Record();
+  r.sequence = got<std::uint64_t>(whole, 8);
+  auto type = got<std::uint8_t>(whole, 16);
+  r.type = static_cast<Type>(type & ~kEnds), r.ends = (type & kEnds) != 0;
+  std::string_view rest = whole.substr(kRecordHeader);
+  switch (r.type) {
+    case Type::Put:
+    case Type::Doubted: {
+      if (rest.size() < 10) return false;
+      r.expires = got<std::uint64_t>(rest, 0);
+      std::size_t key = got<std::uint16_t>(rest, 8);
+      if (rest.size() - 10 < key) return false;
+      r.key = rest.substr(10, key), r.value = rest.substr(10 + key);
+      break;
+    }
+    case Type::Erase:
+      r.key = rest;
+      break;
+    case Type::End:
+      if (rest.size() != 8) return false;
+      r.count = got<std::uint64_t>(rest, 0);
+      break;
+    default:
+      return false;
+  }
+  size = whole.size();
+  return true;
+}
+
+bool Reader::next(Record& record) {
+  skipped_ = false;
+  for (; at_ < bytes_.size(); ++at_, skipped_ = true) {
+    std::size_t size = 0;
+    if (!read_at(at_, record, size)) continue;
+    at_ += size;
+    whole_ = at_;
+    return true;
+  }
+  return false;
+}
+
+}  // namespace wheeldeal::store
--- /dev/null
+++ b/src/store/virtual_disk.cpp
@@ -0,0 +1,157 @@
+#include "store/virtual_disk.hpp"
+
+#include <algorithm>
+
+namespace wheeldeal::store {
+
+class VirtualDisk::Handle final : public File {
+ public:
+  Handle(std::shared_ptr<VirtualDisk> disk, std::shared_ptr<Content> content)
+      : disk_(std::move(disk)), content_(std::move(content)) {}
+  Fault append(std::string_view bytes) override {
+    Fault f = disk_->step(Op::Append);
+    std::size_t room = disk_->room_ - std::min(disk_->room_, disk_->used());
+    if (f == Fault::None && bytes.size() > room) {
+      content_->bytes.append(bytes.substr(0, room));
+      return Fault::Full;
+    }
+    // A write that fails, or in which the power goes, is there in part.
+    content_->bytes.append(f == Fault::None ? bytes : bytes.substr(0, bytes.size() / 2));
+    return f;
+  }
+  Fault sync() override {
+    Fault f = disk_->step(Op::Sync);
+    if (disk_->dead_) return f;
+    if (f != Fault::None) content_->poisoned = true;
+    if (!content_->poisoned) content_->synced = content_->bytes.size();
+    return f;
+  }
+
+ private:
+  std::shared_ptr<VirtualDisk> disk_;
+  std::shared_ptr<Content> content_;
+};
+
+Fault VirtualDisk::step(Op kind) {
+  if (dead_ || done_ == dies_at_) {
+    dead_ = true;
+    return Fault::Io;
+  }
+  ++done_;
+  auto at = failing_.find(kind);
+  if (at == failing_.end() || done_ <= at->second.from || at->second.times == 0) return Fault::None;
+  --at->second.times;
+  return at->second.with;
+}
+
+void VirtualDisk::fail(Op kind, int after, int times, Fault with) {
+  failing_[kind] = {done_ + after, times, with};
+}
+
+std::size_t VirtualDisk::used() const {
+  std::size_t sum = 0;
+  for (const auto& [name, content] : names_) sum += content->bytes.size();
+  return sum;
+}
+
+Fault VirtualDisk::list(std::vector<std::string>& names) {
+  names.clear();
+  for (const auto& [name, content] : names_) names.push_back(name);
+  return step(Op::List);
+}
+
+Fault VirtualDisk::read(const std::string& name, std::size_t most, std::string& bytes) {
+  if (Fault f = step(Op::Read); f != Fault::None) return f;
+  auto at = names_.find(name);
+  if (at == names_.end()) return Fault::Missing;
+  if (at->second->bytes.size() > most) return Fault::TooLarge;
+  bytes = at->second->bytes;
+  return Fault::None;
+}
+
+Fault VirtualDisk::create(const std::string& name, std::unique_ptr<File>& file) {
+  if (Fault f = step(Op::Create); f != Fault::None) return f;
+  auto content = std::make_shared<Content>();
+  names_[name] = content;
+  file = std::make_unique<Handle>(shared_from_this(), content);
+  return Fault::None;
+}
+
+Fault VirtualDisk::rename(const std::string& from, const std::string& to) {
+  if (Fault f = step(Op::Rename); f != Fault::None) return f;
+  auto at = names_.find(from);
+  if (at == names_.end()) return Fault::Missing;
+  auto content = at->second;
+  names_.erase(at);
+  names_[to] = content;
+  return Fault::None;
+}
+
+Fault VirtualDisk::remove(const std::string& name) {
+  if (Fault f = step(Op::Remove); f != Fault::None) return f;
+  return names_.erase(name) > 0 ? Fault::None : Fault::Missing;
+}
+
+Fault VirtualDisk::sync_names() {
+  if (Fault f = step(Op::SyncNames); f != Fault::None) return f;
+  synced_names_ = names_;
+  return Fault::None;
+}
+
+std::shared_ptr<VirtualDisk> VirtualDisk::after_power_loss(std::uint64_t seed) const {
+  std::mt19937_64 random(seed);
+  auto next = std::make_shared<VirtualDisk>();
+  std::map<std::shared_ptr<Content>, std::shared_ptr<Content>> kept;  // a content has one fate
+  auto fate = [&](const std::shared_ptr<Content>& content) {
+    auto& one = kept[content];
+    if (one) return one;
+    one = std::make_shared<Content>();
+    std::string bytes = content->bytes;
+    std::size_t loose = bytes.size() - content->synced;
+    bytes.resize(content->synced + (loose > 0 ? random() % (loose + 1) : 0));
+    // What came later may be on the disk without what came before it.
+    if (bytes.size() > content->synced && random() % 3 == 0) {
+      std::size_t from = content->synced + random() % (bytes.size() - content->synced);
+      std::size_t size = 1 + random() % (bytes.size() - from);
+      std::fill_n(bytes.begin() + static_cast<std::ptrdiff_t>(from), size, '\0');
+    }
+    one->bytes = std::move(bytes);
+    one->synced = one->bytes.size();
+    return one;
+  };
+  Names names = synced_names_;
+  for (const auto& [name, content] : names_)
+    if (auto at = names.find(name); at == names.end() || at->second != content)
+      if (random() % 2) names[name] = content;
+  for (const auto& [name, content] : synced_names_)
+    if (!names_.count(name) && random() % 2) names.erase(name);
+  for (const auto& [name, content] : names) next->names_[name] = fate(content);
+  next->synced_names_ = next->names_;
+  return next;
+}
+
+std::shared_ptr<VirtualDisk> VirtualDisk::copy() const {
+  auto next = std::make_shared<VirtualDisk>();
+  for (const auto& [name, content] : names_) {
+    auto one = std::make_shared<Content>(*content);
+    one->synced = one->bytes.size();
+    next->names_[name] = one;
+  }
+  next->synced_names_ = next->names_;
+  return next;
+}
+
+std::map<std::string, std::string> VirtualDisk::bytes() const {
+  std::map<std::string, std::string> all;
+  for (const auto& [name, content] : names_) all[name] = content->bytes;
+  return all;
+}
+
+void VirtualDisk::set_bytes(const std::string& name, std::string bytes) {
+  auto content = std::make_shared<Content>();
+  content->synced = bytes.size();
+  content->bytes = std::move(bytes);
+  names_[name] = synced_names_[name] = content;
+}
+
+}  // namespace wheeldeal::store
--- /dev/null
+++ b/tests/store/store_test.cpp
@@ -0,0 +1,320 @@
+// The store over a disk that lies: cut at every byte, dead at every step, full, failing, rotten.
+#include "store/store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "store/virtual_disk.hpp"
+
+namespace wheeldeal::store {
+namespace {
+
+#if defined(__SANITIZE_ADDRESS__)
+constexpr std::uint64_t kSeeds = 3;  // the same code, an order slower
+#else
+constexpr std::uint64_t kSeeds = 40;
+#endif
+
+using Op = VirtualDisk::Op;
+
+Limits small() { return {.segment_bytes = 300, .disk_bytes = 64 << 10, .waiting_bytes = 16 << 10}; }
+
+/// A store with its journal, and what a reader may find of each key: the values since the last
+/// durable change, that one included ("" for an erase or none at all).
+struct Machine {
+  explicit Machine(std::shared_ptr<VirtualDisk> files, Limits limits = small())
+      : disk(std::move(files)), journal(disk, limits), store(limits) {
+    Journal::Opened opened;
+    fault = journal.open(opened);
+    damaged = opened.damaged;
+    for (const auto& [key, e] : opened.entries) found[key] = e.value, doubted += e.doubted;
+    store.load(std::move(opened));
+  }
+  void put(const std::string& key, const std::string& value) {
+    Store::Token token = 0;
+    if (store.put(key, value, 0, token) == Fault::None) may[key].emplace_back(token, value);
+  }
+  void erase(const std::string& key) {
+    Store::Token token = 0;
+    if (store.erase(key, token) == Fault::None && token > 0) may[key].emplace_back(token, "");
+  }
+  Fault commit() {
+    Store::Batch b = store.batch();
+    if (b.last == 0) return Fault::None;
+    Fault f = journal.commit(b.records, b.first, b.last);
+    if (f == Fault::None) store.written(b.last);
+    return f;
+  }
+  /// Whether what another found is what this one may have left.
+  void expect_left(const std::map<std::string, std::string>& other, const std::string& where) {
+    for (const auto& [key, value] : other) EXPECT_TRUE(may.count(key)) << where << " " << key;
+    for (const auto& [key, values] : may) {
+      auto at = other.find(key);
+      std::string got = at == other.end() ? "" : at->second;
+      bool fits = false, any_durable = false;
+      for (std::size_t k = values.size(); k-- > 0 && !any_durable;) {
+        fits |= values[k].second == got;
+        any_durable = store.is_durable(values[k].first);
+      }
+      EXPECT_TRUE(fits || (!any_durable && got.empty())) << where << " " << key << "=" << got;
+    }
+  }
+
+  std::shared_ptr<VirtualDisk> disk;
+  Journal journal;
+  Store store;
+  Fault fault = Fault::None;
+  std::size_t damaged = 0, doubted = 0;
+  std::map<std::string, std::string> found;
+  std::map<std::string, std::vector<std::pair<Store::Token, std::string>>> may;
+};
+
+/// Puts and erases over a few keys, commits now and then, compactions on the way.
+void script(Machine& m, std::uint64_t seed, int changes) {
+  std::mt19937_64 random(seed);
+  for (int k = 0; k < changes && !m.disk->dead(); ++k) {
+    std::string key = "k" + std::to_string(random() % 7);
+    if (random() % 5 == 0)
+      m.erase(key);
+    else
+      m.put(key, "v" + std::to_string(k) + std::string(random() % 40, 'x'));
+    if (random() % 3 == 0) (void)m.commit();
+    if (m.journal.wants_compaction()) (void)m.journal.compact(0);
+  }
+}
+
+TEST(Store, EveryFileCutAtEveryByteGivesWholeAcknowledgedRecords) {
+  auto disk = std::make_shared<VirtualDisk>();
+  Limits limits = small();
+  limits.segment_bytes = 4096;
+  Machine m(disk, limits);
+  std::vector<std::map<std::string, std::string>> states{{}};  // after each change
+  for (int k = 0; k < 25; ++k) {
+    auto state = states.back();
+    std::string key = "k" + std::to_string(k % 6);
+    if (k % 9 == 8)
+      m.erase(key), state.erase(key);
+    else
+      m.put(key, "value " + std::to_string(k)), state[key] = "value " + std::to_string(k);
+    ASSERT_EQ(m.commit(), Fault::None);
+    states.push_back(state);
+  }
+  ASSERT_EQ(disk->bytes().size(), 1u);
+  const auto [name, bytes] = *disk->bytes().begin();
+  std::size_t before = 0;
+  for (std::size_t size = 0; size <= bytes.size(); ++size) {
+    auto cut = std::make_shared<VirtualDisk>();
+    cut->set_bytes(name, bytes.substr(0, size));
+    Machine again(cut, limits);
+    ASSERT_EQ(again.fault, Fault::None);
+    // Exactly a beginning of what was done, never a shorter one for a longer file.
+    std::size_t at = before;
+    while (at < states.size() && states[at] != again.found) ++at;
+    ASSERT_LT(at, states.size()) << size;
+    before = at;
+    // And it goes on from there.
+    again.put("new", "one");
+    ASSERT_EQ(again.commit(), Fault::None) << size;
+    Machine third(cut->after_power_loss(size), limits);
+    EXPECT_EQ(third.found["new"], "one");
+    EXPECT_EQ(third.found.size(), states[at].size() + 1);
+  }
+  EXPECT_EQ(before, states.size() - 1);
+}
+
+TEST(Store, PowerLossAtEveryStepLosesNothingAcknowledgedAndInventsNothing) {
+  int steps = 0;
+  {
+    auto disk = std::make_shared<VirtualDisk>();
+    Machine m(disk);
+    script(m, 1, 120);
+    steps = disk->operations();
+  }
+  ASSERT_GT(steps, 150);
+  for (int die = 0; die <= steps; ++die)
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      auto disk = std::make_shared<VirtualDisk>();
+      disk->die_after(die);
+      Machine m(disk);
+      script(m, 1, 120);
+      auto left = disk->after_power_loss(seed);
+      std::string where = std::to_string(die) + "/" + std::to_string(seed);
+      Machine next(left);
+      ASSERT_EQ(next.fault, Fault::None) << where;
+      EXPECT_EQ(next.damaged, 0u) << where;
+      m.expect_left(next.found, where);
+      if (HasFailure()) return;
+    }
+}
+
+TEST(Store, KilledThenPowerLossThenKilledAgain) {
+  for (std::uint64_t seed = 1; seed <= 5 * kSeeds; ++seed) {
+    auto disk = std::make_shared<VirtualDisk>();
+    std::map<std::string, std::vector<std::pair<Store::Token, std::string>>> may;
+    for (int life = 0; life < 4; ++life) {
+      std::string where = std::to_string(seed) + "/" + std::to_string(life);
+      Machine m(disk);
+      ASSERT_EQ(m.fault, Fault::None) << where;
+      EXPECT_EQ(m.damaged, 0u) << where;
+      // What was found and not yet made durable by this process may be lost with the power.
+      for (const auto& [key, value] : m.found) m.may[key] = {{0, value}};
+      disk->die_after(static_cast<int>(seed * 7 % 60) + 5);
+      script(m, seed * 10 + static_cast<std::uint64_t>(life), 30);
+      auto next = seed % 2 ? disk->after_power_loss(seed) : disk->copy();
+      Machine look(next->copy());
+      if (seed % 2) m.expect_left(look.found, where);
+      disk = next;
+      if (HasFailure()) return;
+    }
+  }
+}
+
+struct Trouble {
+  const char* name;
+  Op op;
+  Fault fault;
+  int times;
+};
+void PrintTo(const Trouble& t, std::ostream* out) { *out << t.name; }
+class Troubled : public testing::TestWithParam<Trouble> {};
+
+TEST_P(Troubled, FaultsAreToldAndNothingAcknowledgedIsLost) {
+  const Trouble& t = GetParam();
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+    for (int after : {0, 3, 10, 31, 60}) {
+      auto disk = std::make_shared<VirtualDisk>();
+      Machine m(disk);
+      disk->fail(t.op, after, t.times, t.fault);
+      script(m, seed, 80);
+      std::string where = std::to_string(seed) + "/" + std::to_string(after);
+      Machine next(disk->after_power_loss(seed));
+      m.expect_left(next.found, where);
+      // Once the fault is over everything is written.
+      disk->fail(t.op, 0, 0, Fault::None);
+      ASSERT_EQ(m.commit(), Fault::None) << where;
+      Machine third(disk->after_power_loss(seed + 1));
+      EXPECT_EQ(third.damaged, 0u) << where;
+      m.expect_left(third.found, where);
+      if (HasFailure()) return;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Troubled,
+                         testing::Values(Trouble{"append_fails_once", Op::Append, Fault::Io, 1},
+                                         Trouble{"append_fails_long", Op::Append, Fault::Io, 9},
+                                         Trouble{"disk_full", Op::Append, Fault::Full, 9},
+                                         Trouble{"sync_fails_once", Op::Sync, Fault::Io, 1},
+                                         Trouble{"sync_fails_long", Op::Sync, Fault::Io, 9},
+                                         Trouble{"create_fails", Op::Create, Fault::Rights, 3},
+                                         Trouble{"rename_fails", Op::Rename, Fault::Io, 3},
+                                         Trouble{"remove_fails", Op::Remove, Fault::Rights, 5},
+                                         Trouble{"read_fails", Op::Read, Fault::Io, 3},
+                                         Trouble{"names_not_synced", Op::SyncNames, Fault::Io, 3}),
+                         [](const auto& one) { return std::string(one.param.name); });
+
+TEST(Store, DamageInTheMiddleIsToldAndCastsDoubtOnWhatStoodBefore) {
+  auto disk = std::make_shared<VirtualDisk>();
+  Limits limits = small();
+  limits.segment_bytes = 4096;
+  Machine m(disk, limits);
+  auto each = [&](auto change) {
+    change();
+    ASSERT_EQ(m.commit(), Fault::None);
+  };
+  each([&] { m.put("old", "kept"); });
+  each([&] { m.put("gone", "was"); });
+  each([&] { m.erase("gone"); });
+  each([&] { m.put("b", "2"); });
+  each([&] { m.put("late", "4"); });
+  each([&] { m.put("last", "5"); });  // without a commit behind it the hole might be a torn one's
+  auto [name, bytes] = *disk->bytes().begin();
+  // The erase and the change behind it are damaged: good ones stand before and behind.
+  std::size_t erase = bytes.rfind("gone"), b = bytes.rfind("b2");
+  bytes[erase] ^= 1, bytes[b] ^= 1;
+  auto rotten = std::make_shared<VirtualDisk>();
+  rotten->set_bytes(name, bytes);
+  Machine again(rotten, limits);
+  EXPECT_EQ(again.fault, Fault::None);
+  EXPECT_EQ(again.damaged, 1u);
+  EXPECT_EQ(again.found.count("b"), 0u);
+  EXPECT_EQ(again.found["late"], "4");
+  EXPECT_TRUE(again.store.get("gone", 0)->doubted);
+  EXPECT_TRUE(again.store.get("old", 0)->doubted);
+  EXPECT_FALSE(again.store.get("late", 0)->doubted);
+  // Nor does a compaction forget that.
+  again.put("more", "5");
+  ASSERT_EQ(again.commit(), Fault::None);
+  Machine third(rotten->after_power_loss(1), limits);
+  EXPECT_EQ(third.damaged, 0u);
+  EXPECT_TRUE(third.store.get("gone", 0)->doubted);
+  EXPECT_EQ(third.found["more"], "5");
+}
+
+TEST(Store, AFolderOfALaterVersionIsLeftAlone) {
+  auto disk = std::make_shared<VirtualDisk>();
+  disk->set_bytes("0000000000000001.log", text_of({kVersion + 1, Kind::Log, 1}));
+  auto before = disk->bytes();
+  Machine m(disk);
+  EXPECT_EQ(m.fault, Fault::Newer);
+  EXPECT_EQ(disk->bytes(), before);
+}
+
+TEST(Store, StaysWithinItsBoundsOverAMillionPuts) {
+  Limits limits{.segment_bytes = 256 << 10, .disk_bytes = 4 << 20};
+  auto disk = std::make_shared<VirtualDisk>();
+  Machine m(disk, limits);
+  std::size_t most = 0;
+  int puts = kSeeds > 10 ? 1'000'000 : 50'000;
+  for (int k = 0; k < puts; ++k) {
+    Store::Token token = 0;
+    std::string value = std::to_string(k);
+    ASSERT_EQ(m.store.put("key" + std::to_string(k % 1000), value, 0, token), Fault::None);
+    if (k % 500 != 499) continue;
+    ASSERT_EQ(m.commit(), Fault::None);
+    if (m.journal.wants_compaction()) {
+      ASSERT_EQ(m.journal.compact(0), Fault::None);
+    }
+    most = std::max(most, m.journal.bytes());
+  }
+  EXPECT_LT(most, 1u << 20);
+  std::size_t size = 0;
+  for (const auto& [name, bytes] : disk->bytes()) size += bytes.size();
+  EXPECT_LT(size, 1u << 20);
+  Machine again(disk, limits);
+  EXPECT_EQ(again.found.size(), 1000u);
+  EXPECT_EQ(again.found["key7"], std::to_string(puts - 993));
+}
+
+TEST(Store, BoundsAndTimesAreKept) {
+  Limits limits{.record_bytes = 100, .memory_bytes = 1000, .waiting_bytes = 300};
+  Store store(limits);
+  Store::Token token = 0;
+  EXPECT_EQ(store.put("k", std::string(101, 'x'), 0, token), Fault::TooLarge);
+  EXPECT_EQ(store.put(std::string(kMostKey + 1, 'k'), "", 0, token), Fault::TooLarge);
+  EXPECT_EQ(store.put("a", "1", 50, token), Fault::None);
+  EXPECT_EQ(token, 1u);
+  EXPECT_NE(store.get("a", 49), nullptr);
+  EXPECT_EQ(store.get("a", 50), nullptr);
+  store.expire(50);
+  EXPECT_EQ(store.size(), 0u);
+  EXPECT_EQ(store.memory(), 0u);
+  EXPECT_EQ(store.erase("a", token), Fault::None);
+  EXPECT_EQ(token, 0u);
+  Fault f = Fault::None;
+  int k = 0;
+  for (; f == Fault::None; ++k)
+    f = store.put("w" + std::to_string(k), std::string(60, 'y'), 0, token);
+  EXPECT_EQ(f, Fault::Busy);  // the disk is behind
+  store.written(store.batch().last);
+  EXPECT_EQ(store.waiting(), 0u);
+  for (f = Fault::None; f == Fault::None; ++k) {
+    f = store.put("w" + std::to_string(k), std::string(60, 'y'), 0, token);
+    store.written(store.batch().last);
+  }
+  EXPECT_EQ(f, Fault::Full);
+  EXPECT_LE(store.memory(), 1000u);
+}
+
+}  // namespace
+}  // namespace wheeldeal::store
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -4,7 +4,7 @@
 set -eu
 packages="g++ cmake make pkg-config libevent-dev nlohmann-json3-dev libcli11-dev libgtest-dev
   libbenchmark-dev libmemcached-dev libnghttp2-dev libboost-dev
-  libtomlplusplus-dev libprotobuf-dev protobuf-compiler libgrpc++-dev protobuf-compiler-grpc"
+  libtomlplusplus-dev libxxhash-dev libprotobuf-dev protobuf-compiler libgrpc++-dev protobuf-compiler-grpc"
 # Where Node.js comes from elsewhere, its npm comes with it, and Debian's would not fit it.
 command -v npm >/dev/null 2>&1 || packages="$packages nodejs npm"
 missing=""
