Kept state: a router keeps its list and serves at once after a restart while discovery is away

Change: store/belief judges a kept list by owner, age on a clock that may have jumped, and damage: taken, asked about (ListScope::Doubted: it serves, and discovery is asked at once), dropped. store/keeping carries it between router, store and disk; whatever the disk does the router serves on and says so once. Off without the object store; arrowfork keeps nothing. The tier rig restarts routers with state kept, wiped, of before, another's or cut short.

On the way: a timer of its own for the store would have been freed after its loop.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -115,10 +115,11 @@
 };
 
 enum class ListScope {
-  Delta,   ///< only the entries that changed
-  Full,    ///< the complete list
-  Cached,  ///< the complete list as last held, perhaps out of date
-  Failed,  ///< a Watch or Fetch failed, or the watch broke
+  Delta,    ///< only the entries that changed
+  Full,     ///< the complete list
+  Cached,   ///< the complete list as last held, perhaps out of date
+  Doubted,  ///< the same, and likely out of date: discovery is asked at once
+  Failed,   ///< a Watch or Fetch failed, or the watch broke
 };
 
 struct Request {
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -47,6 +47,7 @@
     std::unique_ptr<Front> front = attach ? attach(base.get(), clock, router, config) : nullptr;
     if (front) router.add_front(*front);
     if (config.ext_proc && !attach) complain("ext_proc: this program does not serve it");
+    if (config.store && !attach) complain("store: this program keeps nothing");
     auto on_signal = [](evutil_socket_t, short, void* r) { static_cast<Router*>(r)->stop(); };
     EventPtr term(evsignal_new(base.get(), SIGTERM, on_signal, &router));
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
--- a/src/app/wheeldeal.cpp
+++ b/src/app/wheeldeal.cpp
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -11,6 +12,7 @@
 #include "../rig/cache_server.hpp"
 #include "../rig/show.hpp"
 #include "../rig/storm.hpp"
+#include "../store/keeping.hpp"
 #include "../tier/tier.hpp"
 #include "serve.hpp"
 
@@ -45,6 +47,11 @@
   return server;
 }
 
+arrowfork::Micros wall() {
+  using namespace std::chrono;
+  return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
+}
+
 std::string own_program() {
   char path[4096];
   ssize_t size = ::readlink("/proc/self/exe", path, sizeof path);
@@ -62,9 +69,21 @@
   CLI::App* run = app.add_subcommand("run", "serve until SIGTERM; SIGHUP reads the file again");
   run->add_option("file", file, "configuration (JSON); without it, the one NODE_CONFIG names");
   run->callback([&] {
-    status = arrowfork::serve(
-        [&] { return file.empty() ? arrowfork::load_config() : arrowfork::load_config(file); },
-        ext_proc);
+    std::unique_ptr<wheeldeal::store::Keeping> keeping;  // of the first configuration
+    auto load = [&] {
+      auto config = file.empty() ? arrowfork::load_config() : arrowfork::load_config(file);
+      if (config.store && !keeping) {
+        keeping = std::make_unique<wheeldeal::store::Keeping>(*config.store, config.name, wall);
+        keeping->give(config);
+      }
+      return config;
+    };
+    auto attach = [&](event_base* base, const arrowfork::TimeSource& clock,
+                      arrowfork::Router& router, const arrowfork::Config& config) {
+      router.set_list_memory(keeping.get());
+      return ext_proc(base, clock, router, config);
+    };
+    status = arrowfork::serve(load, attach);
   });
   CLI::App* checked = app.add_subcommand("check", "say whether a configuration can be used");
   checked->add_option("file", file, "configuration (JSON)")->required();
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -40,10 +40,11 @@
   counts_.ends.resize(classes_.size());
 }
 
-void Core::start(std::vector<robinseam::Server> known) {
+void Core::start(std::vector<robinseam::Server> known, bool doubted) {
   Micros now = clock_.now();
   perform("start", 0, now, balancer_.start(now));
-  list(robinseam::ListScope::Cached, std::move(known));
+  using Scope = robinseam::ListScope;
+  list(doubted ? Scope::Doubted : Scope::Cached, std::move(known));
 }
 
 // ---- requests ----
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -76,8 +76,8 @@
        Lister& lister, std::size_t max_open, std::size_t max_ids,
        const robinseam::limits::RuleMaker& rules = {});
 
-  /// Call once: begins with the list as last held.
-  void start(std::vector<robinseam::Server> known);
+  /// Call once: begins with the list as last held; `doubted`: it is likely to have changed.
+  void start(std::vector<robinseam::Server> known, bool doubted = false);
 
   enum class Taken {
     Yes,
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -318,6 +318,32 @@
   return static_cast<robinseam::Micros>(ms * 1000);
 }
 
+StoreSettings store_of(const Json& json) {
+  if (!json.is_object()) throw ConfigError("store: no object");
+  StoreSettings s;
+  constexpr double kMb = 1 << 20, kSeconds = 1e6;
+  for (const auto& [name, value] : json.items()) {
+    if (name == "folder" && value.is_string()) {
+      s.folder = value.get<std::string>();
+      continue;
+    }
+    bool disk = name == "disk_mb", memory = name == "memory_mb", taken = name == "list_taken_s",
+         asked = name == "list_asked_s";
+    if (!disk && !memory && !taken && !asked)
+      throw ConfigError("store." + name + (name == "folder" ? ": no text" : ": no such name"));
+    if (!value.is_number() || !(value.get<double>() > 0) || value.get<double>() > 1e6)
+      throw ConfigError("store." + name + ": no number above 0");
+    double figure = value.get<double>();
+    if (disk) s.disk_bytes = static_cast<std::size_t>(figure * kMb);
+    if (memory) s.memory_bytes = static_cast<std::size_t>(figure * kMb);
+    if (taken) s.list_taken = static_cast<robinseam::Micros>(figure * kSeconds);
+    if (asked) s.list_asked = static_cast<robinseam::Micros>(figure * kSeconds);
+  }
+  if (s.folder.empty()) throw ConfigError("store.folder: missing");
+  if (s.list_asked < s.list_taken) throw ConfigError("store.list_asked_s: under list_taken_s");
+  return s;
+}
+
 Config config_of(const Json& json) {
   if (!json.is_object()) throw ConfigError("NODE_CONFIG: the file holds no JSON object");
   Config c;
@@ -370,6 +396,8 @@
     if (c.ext_proc->connections + 64 > c.sockets)
       throw ConfigError("ext_proc.connections: limits.sockets leaves no room for them");
   }
+  if (auto store = json.find("store"); store != json.end() && !store->is_null())
+    c.store = store_of(*store);
   check_control(c);
   return c;
 }
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -47,6 +47,16 @@
   bool operator==(const ExtProcSettings&) const = default;
 };
 
+/// The object `store`: state that outlives the process (wheeldeal alone).
+struct StoreSettings {
+  std::string folder;  ///< this router's own
+  std::size_t disk_bytes = 16u << 20, memory_bytes = 8u << 20;
+  /// A kept list up to this age is taken as one that the process was handed; up to the second one
+  /// discovery is asked about it at once; beyond it is dropped.
+  robinseam::Micros list_taken = 10'000'000, list_asked = 600'000'000;
+  bool operator==(const StoreSettings&) const = default;
+};
+
 struct Config {
   std::string name, listen, discovery;
   std::string control;    ///< address for operators' calls; empty: none
@@ -55,11 +65,13 @@
   std::size_t memory_bytes = 0;
   std::size_t sockets = 0;
   HostList known;
+  bool known_is_doubted = false;  ///< it is likely to have changed: discovery is asked at once
   robinseam::Settings settings;
   robinseam::drill::LinkSettings links;
   robinseam::Micros log_every = 5'000'000;  ///< between two lines of figures
   BinaryRules binary;  ///< of the object `binary`; without it nothing binary is spoken
   std::optional<ExtProcSettings> ext_proc;
+  std::optional<StoreSettings> store;
 };
 
 /// Reads the file that NODE_CONFIG names. The other NODE_ variables say what it leaves out: they
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -143,7 +143,7 @@
   }
   HostList known = hand_.take(config_.known);
   servers_.take_list(known);
-  core_.start(servers_of(known));
+  core_.start(servers_of(known), config_.known_is_doubted);
   recovery_.handed(clock_.now(), any_ready());
   pulse_event_.reset(event_new(base, -1, EV_PERSIST, on_pulse, this));
   timeval pulse = timeval_of(kPulse);
@@ -258,6 +258,7 @@
   servers_.take_list(list);
   core_.list(list.whole ? ListScope::Full : ListScope::Delta, servers_of(list));
   recovery_.told(clock_.now(), any_ready());
+  if (memory_) memory_->told(hand_.told());
   take_over_if_ready();
 }
 
@@ -302,6 +303,7 @@
 void Router::on_pulse(evutil_socket_t, short, void* self) {
   auto* r = static_cast<Router*>(self);
   Micros now = r->clock_.now();
+  if (r->memory_) r->memory_->pump();
   if (now - std::exchange(r->pulse_at_, now) < kPulse + kStoodStill) return;
   // What is held is from before: discovery is asked what has changed since. Whatever stopped this
   // process may have stopped the whole tier, so within the time that a tier's calls need.
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -17,6 +17,7 @@
 #include "config.hpp"
 #include "discovery.hpp"
 #include "front.hpp"
+#include "list_memory.hpp"
 #include "recovery/recovery.hpp"
 #include "server_side.hpp"
 
@@ -54,6 +55,8 @@
   Core& core() { return core_; }
   /// A further front, which takes part in the loop and in the planned end from here on. It must
   /// outlive run().
+  /// Is told each list from now on; nullptr: none. It must outlive the router.
+  void set_list_memory(ListMemory* memory) { memory_ = memory; }
   void add_front(Front& front) { fronts_.push_back(&front); }
   std::string address_of(const std::string& server) const { return servers_.address_of(server); }
   const std::vector<robinseam::ReportField>& report_fields() const {
@@ -129,6 +132,7 @@
   std::size_t held_elsewhere_ = 0;  // descriptors of the other process of an upgrade
   std::uint64_t reloads_ok_ = 0, reloads_failed_ = 0;
   std::vector<Front*> fronts_;
+  ListMemory* memory_ = nullptr;
   std::set<std::string> down_;  // listed servers that the last line of states left as down
   Micros stopping_since_ = 0;
   bool done_ = false;
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -96,6 +96,8 @@
   part("utilization", m.utilization);
   add("seeds", m.saved_seeds);
   add("keys", m.tracked_keys);
+  if (memory_)
+    for (auto& [name, value] : memory_->figures()) all.emplace_back(name, value);
   for (const Front* front : fronts_)
     for (const auto& [name, value] : front->figures()) add(name.c_str(), value);
   return all;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1017,8 +1017,9 @@
     m.list_failed();
     return std::move(m.out);
   }
-  if (scope != ListScope::Cached) m.lim.list_told();
-  if (scope != ListScope::Cached && m.asking) m.asking = false, m.watching = true, m.asks.told();
+  bool held = scope == ListScope::Cached || scope == ListScope::Doubted;
+  if (!held) m.lim.list_told();
+  if (!held && m.asking) m.asking = false, m.watching = true, m.asks.told();
   if (scope != ListScope::Delta) {
     std::map<std::string, bool> named;
     for (const Server& e : entries) named[e.id] = true;
@@ -1037,8 +1038,10 @@
   m.carve();
   m.asks.hold(std::any_of(m.servers.begin(), m.servers.end(),
                           [&](const Impl::ServerState& s) { return m.usable(s); }));
-  if (scope == ListScope::Cached && m.set.must_ask && !m.asks.usable())
-    m.ask(m.asks.first(m.random()));
+  bool usable = m.asks.usable();
+  if (scope == ListScope::Doubted) m.asks.hold(false);
+  if (held && m.set.must_ask && !m.asks.usable()) m.ask(m.asks.first(m.random()));
+  m.asks.hold(usable);
   return std::move(m.out);
 }
 
--- a/src/tier/scenario.cpp
+++ b/src/tier/scenario.cpp
@@ -22,6 +22,11 @@
 
 constexpr std::array<Named<Known>, 3> kKnown{
     {{"now", Known::Now}, {"none", Known::None}, {"old", Known::Old}}};
+constexpr std::array<Named<State>, 5> kStates{{{"kept", State::Kept},
+                                               {"wiped", State::Wiped},
+                                               {"old", State::Old},
+                                               {"other", State::Other},
+                                               {"cut", State::Cut}}};
 constexpr std::array<Named<robinseam::Group>, 3> kGroups{{{"all", robinseam::Group::All},
                                                           {"zone", robinseam::Group::Zone},
                                                           {"cell", robinseam::Group::Cell}}};
@@ -139,6 +144,8 @@
     case Verb::Term:
       t.span("start_after", a.start_after, 0, s.lasts);
       named(t, "known", kKnown, a.known);
+      if (t.has("state") && !s.store) t.fault("state needs routers.store = true");
+      named(t, "state", kStates, a.state);
       t.json("config", a.config);
       break;
     case Verb::Stop:
@@ -244,6 +251,7 @@
       r.integer("sockets", s.sockets, 64, 1 << 16);
       named(r, "known", kKnown, s.known);
       r.flag("control", s.control);
+      r.flag("store", s.store);
       r.json("config", s.config);
       r.span("ask_within", s.ask_within, kSecond, kLongest);
     });
--- a/src/tier/scenario.hpp
+++ b/src/tier/scenario.hpp
@@ -8,6 +8,15 @@
 
 namespace arrowfork::tier {
 
+/// What a router's kept state is when it starts again.
+enum class State {
+  Kept,
+  Wiped,
+  Old,    ///< as it was when the load began
+  Other,  ///< another router's
+  Cut,    ///< each file cut short in its middle
+};
+
 /// The list of servers that a router's configuration holds when it starts.
 enum class Known { Now, None, Old };
 
@@ -47,6 +56,7 @@
   Micros lasts = 0;         ///< then it is undone; 0: it stays
   Micros start_after = -1;  ///< Kill, Term: until it is started again; -1: never
   Known known = Known::Now;
+  State state = State::Kept;
   std::string config;  ///< JSON that is merged into the configuration
   enum class Way { TillsToRouters, RoutersToCaches, RoutersToDiscovery } way{};
   LinkFault fault;
@@ -92,6 +102,7 @@
   int sockets = 512;
   Known known = Known::Now;  ///< of the first start
   std::string config;        ///< JSON merged into every configuration
+  bool store = false;        ///< each keeps state in a folder of its own
   bool control = false;      ///< a control address and kept state, as an upgrade needs
   int caches = 6, cores = 4, waiting = 8, room = 0;
   Micros work = kMillisecond;  ///< mean of a read, on one core
--- a/src/tier/stage.cpp
+++ b/src/tier/stage.cpp
@@ -292,11 +292,33 @@
     config["control"] = "127.0.0.1:0";
     config["state_dir"] = state.string();
   }
+  if (s_.store) config["store"] = {{"folder", store_of(router.index).string()}};
   for (const std::string* more : {&s_.config, &router.config})
     if (!more->empty()) config.merge_patch(Json::parse(*more));
   return config.dump(1);
 }
 
+std::filesystem::path Stage::store_of(int router) const {
+  return folder_.path() / ("store" + std::to_string(router));
+}
+
+/// Between two lives of a router.
+void Stage::change_state(int router, State state) {
+  namespace fs = std::filesystem;
+  fs::path own = store_of(router), first = own.string() + ".first";
+  if (state == State::Kept) return;
+  if (state != State::Cut) fs::remove_all(own);
+  if (state == State::Old) fs::copy(first, own, fs::copy_options::recursive);
+  if (state == State::Other) {
+    fs::create_directories(own);
+    for (const auto& file : fs::directory_iterator(store_of((router + 1) % s_.routers)))
+      if (file.path().filename() != "LOCK") fs::copy(file.path(), own / file.path().filename());
+  }
+  if (state != State::Cut) return;
+  for (const auto& file : fs::directory_iterator(own))
+    fs::resize_file(file.path(), file.file_size() / 2);
+}
+
 void Stage::start(Router& router, Known known) {
   std::string name = "n" + std::to_string(router.index);
   auto at = folder_.path() / (name + ".json");
@@ -319,9 +341,12 @@
   router.probe.reset();
 }
 
-void Stage::start_when_over(Router& router, Known known) {
-  if (!router.process) return start(router, known);
-  in(kTick, [this, &router, known] { start_when_over(router, known); });
+void Stage::start_when_over(Router& router, Known known, State state) {
+  if (!router.process) {
+    change_state(router.index, state);
+    return start(router, known);
+  }
+  in(kTick, [this, &router, known, state] { start_when_over(router, known, state); });
 }
 
 void Stage::end(Router& router, int signal, const Action& a) {
@@ -334,7 +359,9 @@
   router.process->signal(signal);
   if (!a.config.empty()) router.config = a.config;
   if (a.start_after >= 0)
-    in(a.start_after, [this, &router, known = a.known] { start_when_over(router, known); });
+    in(a.start_after, [this, &router, known = a.known, state = a.state] {
+      start_when_over(router, known, state);
+    });
 }
 
 void Stage::stop(Router& router, Micros lasts) {
@@ -460,6 +487,10 @@
   ways.observer = this;
   tills_ = std::make_unique<rig::StormTills>(base_.get(), clock_, day_, std::move(ways), s_.slack,
                                              s_.seed, [this]() -> emu::Second& { return second_; });
+  if (s_.store)
+    for (const Router& r : routers_)
+      std::filesystem::copy(store_of(r.index), store_of(r.index).string() + ".first",
+                            std::filesystem::copy_options::recursive);
   account_.begin();
   // What was listed before the load began holds from its begin.
   for (std::size_t k = 0; k < caches_.size(); ++k)
--- a/src/tier/stage.hpp
+++ b/src/tier/stage.hpp
@@ -70,7 +70,9 @@
   void in(Micros span, std::function<void()> run);
   void schedule(const Action& action);
   void act(const Action& action, std::size_t member);
-  void start_when_over(Router& router, Known known);
+  void start_when_over(Router& router, Known known, State state);
+  std::filesystem::path store_of(int router) const;
+  void change_state(int router, State state);
   void end(Router& router, int signal, const Action& action);
   void stop(Router& router, Micros lasts);
   void resume(Router& router);
