Limits: fetches lost in a row at three servers cut a router's window to its part of a jam

Seen: all caches emptied under 300 routers, in virtual time: the jam lasts 17 s and more. Traced by the window of each send: 3 s into it most attempts come from routers whose window is still at its start, since each sees one end a second, and by one or two losses each server looks at fault, so its losses were left out as evidence (Limits::ended, at_fault).

Change: a run of three losses, at three servers, none of them at once, within 2 s of each other, cuts the window to 32 over the tier.

--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -26,6 +26,15 @@
 // out over all its routers, whose part may be less than one. With twelve, a fleet at its capacity
 // did not come out of a jam on one of four seeds; with eight on all (docs/design/limits.md).
 constexpr double kTierFetches = 8;
+// So many fetches lost in a row, each within this time of the last and at another server, and none
+// of them before an answer in time was over (a server's own errors come at once): the origin is
+// jammed. A router of a large tier sees one end a second, and its cuts by signals took 12 s from
+// 256 to what a jammed origin can take. By two, join+mass 454547756054 refused a third more.
+constexpr Micros kJamSpan = 2'000 * kMilli;
+constexpr int kJamRun = 3;
+constexpr double kWhole = 0.5;  // weights above it are fetches that count alone
+// The tier's part that goes on into a jam, from which windows grow again by good ends.
+constexpr double kTierJammed = 32;
 constexpr double kMissGain = 0.05;    // of one answer in the shares of misses
 constexpr double kMissUntold = 0.02;  // of one that was never answered
 constexpr double kHeldMisses = 0.05;  // presumed
@@ -61,6 +70,7 @@
     : maker_(std::move(maker)),
       fetches_(made(maker_, Place::Origin, fetch_rules(settings.routers))),
       miss_share_{1, kHeldMisses},
+      jam_(kTierJammed / std::max(1, settings.routers)),
       retry_tokens_(kRetryCap / 2 * recovery::start_part(settings.routers)),
       broken_tokens_(kRetryCap / 2 - retry_tokens_),
       copy_tokens_(kCopyCap / 2 * recovery::start_part(settings.routers)),
@@ -119,6 +129,14 @@
     if (evidence == Evidence::Bad) blame = blame_.common(now, server);
     fetches_lost_ += kLostGain * weight * ((evidence == Evidence::Bad) * blame - fetches_lost_);
   }
+  if (evidence == Evidence::Good && weight > 0) lost_run_ = 0;
+  // Before the servers' own faults are left out: by one or two losses each server looks at fault.
+  if (evidence == Evidence::Bad && weight > kWhole && latency >= ask.aim &&
+      (lost_run_ == 0 || lost_server_ != server)) {
+    lost_run_ = now - lost_at_ < kJamSpan ? lost_run_ + 1 : 1;
+    if (lost_run_ >= kJamRun) fetches_->jammed(now, jam_);
+    lost_at_ = now, lost_server_ = server;
+  }
   if (evidence == Evidence::Bad && at_fault) evidence = Evidence::None;
   // The servers' own queues are part of a fetch's latency, so not each above the aim is a signal.
   fetches_->ended(now, sent_at, weight, evidence, static_cast<double>(latency),
--- a/src/limits/limits.hpp
+++ b/src/limits/limits.hpp
@@ -91,6 +91,10 @@
   std::array<double, 2> miss_share_;  // of attempts for keys to fetch, and for those held
   std::array<Turned, 2> turned_;
   double fetches_lost_ = 0;
+  int lost_run_ = 0;    // fetches lost in a row
+  Micros lost_at_ = 0;  // the last of them, and where
+  std::size_t lost_server_ = 0;
+  double jam_;  // this router's part of what goes into a jammed origin
   Micros refused_at_ = -1;
   Micros fetch_ended_at_ = 0;
   double retry_tokens_, broken_tokens_, copy_tokens_;
--- a/src/limits/rule.hpp
+++ b/src/limits/rule.hpp
@@ -48,6 +48,8 @@
   /// loss that tells of what is limited here, 0 to 1.
   virtual void ended(Micros now, Micros sent_at, double weight, Evidence evidence, double latency,
                      double fine, double blame = 1) = 0;
+  /// What is limited is jammed: no more than `most` from now on, until good ends tell better.
+  virtual void jammed(Micros /*now*/, double /*most*/) {}
   /// Forgets what was learnt, as where another process has taken the place; what is out stays so.
   virtual void reset() = 0;
 
--- a/src/limits/window.cpp
+++ b/src/limits/window.cpp
@@ -79,6 +79,12 @@
   relaxed_at_ = std::max(relaxed_at_, now);
 }
 
+void Window::jammed(Micros now, double most) {
+  if (limit_ <= most) return;
+  limit_ = slow_start_ = std::max(rules_.least, most);
+  signals_ = 0, cut_at_ = signal_at_ = relaxed_at_ = now;
+}
+
 void Window::reset() {
   double out = out_;
   *this = Window(rules_);
--- a/src/limits/window.hpp
+++ b/src/limits/window.hpp
@@ -39,6 +39,7 @@
   }
   void ended(Micros now, Micros sent_at, double weight, Evidence evidence, double latency,
              double fine, double blame = 1) override;
+  void jammed(Micros now, double most) override;
   void reset() override;
 
   double limit() const override { return limit_; }
