Store: wheeldeal store dump, check and compact; what waits at a planned end is written

Seen by the test of ten starts: of three lists a life only the first was kept, since Keeping's end offered nothing while a commit was under way.

--- a/src/app/wheeldeal.cpp
+++ b/src/app/wheeldeal.cpp
@@ -13,6 +13,7 @@
 #include "../rig/show.hpp"
 #include "../rig/storm.hpp"
 #include "../store/keeping.hpp"
+#include "../store/tool.hpp"
 #include "../tier/tier.hpp"
 #include "serve.hpp"
 
@@ -201,6 +202,19 @@
       status = arrowfork::tier::kUnusable;
     }
   });
+  CLI::App* kept = app.add_subcommand("store", "look at a router's kept state, or compact it");
+  kept->require_subcommand(1);
+  std::string folder;
+  auto with_folder = [&](const char* name, const char* what, int (*act)(const std::string&)) {
+    CLI::App* one = kept->add_subcommand(name, what);
+    one->add_option("folder", folder, "as the configuration's store.folder")->required();
+    one->callback([&, act] { status = act(folder); });
+  };
+  with_folder("dump", "every entry: change, key, until when, value", wheeldeal::store::dump);
+  with_folder("check", "0 where all is whole, 1 where something is damaged",
+              wheeldeal::store::check);
+  with_folder("compact", "one snapshot in the place of all; its router must be down",
+              wheeldeal::store::compact);
   CLI11_PARSE(app, argc, argv);
   return status;
 }
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -65,6 +65,11 @@
   return shared_->state;
 }
 
+bool Committer::settle() const {
+  std::unique_lock lock(shared_->lock);
+  return shared_->changed.wait_for(lock, kPatience, [&] { return !shared_->state.busy; });
+}
+
 bool Committer::offer(const Store::Batch& batch, std::uint64_t now) {
   std::lock_guard lock(shared_->lock);
   if (shared_->state.busy || batch.last == 0) return false;
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -26,6 +26,8 @@
     bool busy = false;
   };
   State state() const;
+  /// Until no batch is under way, or a disk that hangs has had its time; true: none is.
+  bool settle() const;
   /// Takes the batch where none is under way; false else. After a fault the next one has to begin
   /// with the same changes.
   bool offer(const Store::Batch& batch, std::uint64_t now);
--- a/src/store/keeping.cpp
+++ b/src/store/keeping.cpp
@@ -37,7 +37,10 @@
   committer_ = std::make_unique<Committer>(std::move(journal));
 }
 
-Keeping::~Keeping() { pump(); }
+Keeping::~Keeping() {
+  // What came while the disk was at work; what it takes after that is the end's own time.
+  if (committer_ && committer_->settle()) pump();
+}
 
 void Keeping::give(arrowfork::Config& config) {
   const Entry* entry = store_.get(kListKey, static_cast<std::uint64_t>(wall_()));
--- a/tests/store/belief_test.cpp
+++ b/tests/store/belief_test.cpp
@@ -5,10 +5,14 @@
 
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <string>
+#include <thread>
 
 #include "rig/process.hpp"
 #include "store/keeping.hpp"
+#include "store/tool.hpp"
+#include "store/virtual_disk.hpp"
 
 namespace wheeldeal::store {
 namespace {
@@ -99,5 +103,94 @@
   EXPECT_EQ(state(*f.keep()), "not_used");
 }
 
+TEST(Keeping, TenStartsInAMinuteLeaveTwoFilesAndToolsReadThem) {
+  Folder f;
+  for (int k = 0; k < 10; ++k, f.now += 6 * kS) {
+    auto keeping = f.keep();
+    for (int j = 0; j < 3; ++j, f.now += 6 * kS) keeping->told(list());
+  }
+  EXPECT_EQ(f.given().known.version, "7");
+  // The last word of the last life, 12 s ago, is the one that counts, also where it came late.
+  f.now -= 6 * kS;
+  EXPECT_FALSE(f.given().known_is_doubted);
+  std::size_t files = 0;
+  for (const auto& file : std::filesystem::directory_iterator(f.settings.folder))
+    files += file.path().filename() != "LOCK";
+  EXPECT_LE(files, 2u);  // a snapshot, and the segment behind it
+  EXPECT_EQ(check(f.settings.folder), 0);
+  EXPECT_EQ(dump(f.settings.folder), 0);
+  EXPECT_EQ(compact(f.settings.folder), 0);
+  auto in_service = f.keep();
+  EXPECT_EQ(compact(f.settings.folder), 2);
+  EXPECT_EQ(check(f.settings.folder), 0);
+  EXPECT_EQ(check(f.settings.folder + "/none"), 2);
+}
+
+/// A disk that hangs in its next sync until it is let go.
+struct Stalled final : FileSystem {
+  std::shared_ptr<VirtualDisk> disk = std::make_shared<VirtualDisk>();
+  std::mutex gate;
+  struct Slow final : File {
+    std::unique_ptr<File> file;
+    std::mutex& gate;
+    Slow(std::unique_ptr<File> inner, std::mutex& g) : file(std::move(inner)), gate(g) {}
+    Fault append(std::string_view bytes) override { return file->append(bytes); }
+    Fault sync() override {
+      std::lock_guard wait(gate);
+      return file->sync();
+    }
+  };
+  Fault lock() override { return disk->lock(); }
+  Fault list(std::vector<std::string>& names) override { return disk->list(names); }
+  Fault read(const std::string& name, std::size_t most, std::string& bytes) override {
+    return disk->read(name, most, bytes);
+  }
+  Fault create(const std::string& name, std::unique_ptr<File>& file) override {
+    std::unique_ptr<File> inner;
+    Fault f = disk->create(name, inner);
+    file = std::make_unique<Slow>(std::move(inner), gate);
+    return f;
+  }
+  Fault rename(const std::string& from, const std::string& to) override {
+    return disk->rename(from, to);
+  }
+  Fault remove(const std::string& name) override { return disk->remove(name); }
+  Fault sync_names() override { return disk->sync_names(); }
+};
+
+TEST(Committer, AStalledDiskHoldsNobodyUpAndGetsEverythingLater) {
+  auto files = std::make_shared<Stalled>();
+  Limits limits{.waiting_bytes = 4096};
+  auto journal = std::make_shared<Journal>(files, limits);
+  Journal::Opened opened;
+  ASSERT_EQ(journal->open(opened), Fault::None);
+  Store store(limits);
+  auto committer = std::make_unique<Committer>(journal);
+  Store::Token token = 0, last = 0;
+  Fault fault = Fault::None;
+  {
+    std::lock_guard stall(files->gate);
+    // More than may wait: every call returns, and the last ones say that the disk is behind.
+    for (int k = 0; k < 100; ++k) {
+      fault = store.put("k" + std::to_string(k), std::string(100, 'v'), 0, token);
+      if (fault == Fault::None) last = token;
+      committer->offer(store.batch(), 0);
+    }
+    EXPECT_EQ(fault, Fault::Busy);
+    EXPECT_EQ(committer->state().durable, 0u);
+    EXPECT_TRUE(committer->state().busy);
+  }
+  while (!store.is_durable(last)) {
+    store.written(committer->state().durable);
+    committer->offer(store.batch(), 0);
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(store.waiting(), 0u);
+  committer.reset();
+  Journal::Opened again;
+  ASSERT_EQ(Journal(files->disk->after_power_loss(1), limits).open(again), Fault::None);
+  EXPECT_EQ(again.entries.size(), last);
+}
+
 }  // namespace
 }  // namespace wheeldeal::store
