Recovery: each answer of discovery counts for who came back; store changes are told at a reload

Company heard of whole lists alone, and a watch begun from a known list is answered with changes. A reload that changes the store said nothing.

--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -196,9 +196,11 @@
       throw ConfigError(std::string("binary.") + what + "_class: '" + type +
                         "' is no class of the settings in force");
   if (next.settings != config_.settings || next.links != config_.links ||
-      next.listen != config_.listen || next.ext_proc != config_.ext_proc)
+      next.listen != config_.listen || next.ext_proc != config_.ext_proc ||
+      next.store != config_.store)
     std::fprintf(stderr,
-                 "arrowfork: reload: settings, listen and ext_proc are taken at the next start\n");
+                 "arrowfork: reload: settings, listen, ext_proc and store are taken at the next "
+                 "start\n");
   config_.sockets = next.sockets;
   config_.memory_bytes = next.memory_bytes;
   share_out();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1028,7 +1028,7 @@
   }
   for (const Server& e : entries) m.take_entry(e);
   m.forget_gone();
-  if (scope == ListScope::Full) {
+  if (!held) {
     auto all = [&](auto test) {
       return static_cast<int>(std::count_if(m.servers.begin(), m.servers.end(), test));
     };
