Discovery: calls are planned backwards from when a change counts as told

Ruled out: bytes that wait for a dial (none out then), the module (it was never told), answers lost between reply and list.

src/membership/watching, free of I/O, keeps one due: the earliest moment at which something missed may count. It asks beside a watch 4 to 10 s before the end of its wait, so that silence is known with 6 s to spare and not 1 s; a failed call is made again within what is left; waits stretch while discovery turns calls away. An answer that has begun has 1.5 s. An agent on the own machine is asked each 2 s, and four times a second while it is silent. Each list that announces leaving servers is a line of the log; missed dues are said once and set list_old.

--- /dev/null
+++ b/src/membership/watching.cpp
@@ -0,0 +1,185 @@
+#include "membership/watching.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinseam::membership {
+namespace {
+
+constexpr Micros kMilli = 1000, kSecond = 1000 * kMilli;
+
+// PROTOCOL: what a silent call misses counts as told so long after it fell silent, and not before
+// so long after its wait.
+constexpr Micros kSilentTold = 6 * kSecond, kWaitTold = 2 * kSecond;
+// What an answer held that broke off counts as told so long after it.
+constexpr Micros kSpoiltTold = 2 * kSecond;
+// A watch's wait is drawn anew each time, so that watches begun together end over 8 s: the time in
+// which the slowest of the users' sites takes a call of every router.
+constexpr Micros kShortestWait = 20 * kSecond;
+// So long before its end, drawn, it is asked beside it whether anything was missed, and with the
+// answer the next watch begins. What falls silent before that is known with 6 to 12 s to spare; the
+// watch that could fall silent after it is gone. Two calls in some 17 s, where waiting for the end
+// needed one in 20 s and left 1 s.
+constexpr Micros kLead = 4 * kSecond, kMostLead = 10 * kSecond;
+// Where discovery has no time for that, waits grow: by calls turned away, and by answers that took
+// this long. Twice as long is 56 s, of the 60 s that discovery takes.
+constexpr double kMostStretch = 2, kStretchRefused = 1.5, kStretchSlow = 1.25, kUnstretch = 0.8;
+constexpr Micros kSlowAnswer = 500 * kMilli;
+// An agent on the own machine: calls cost nothing.
+constexpr Micros kPushedWait = 2 * kSecond;
+// Discovery answers, or fails what it can't do in time, within 2 s: of what takes longer nothing
+// will be heard, and before that a second call would only lengthen its queue.
+constexpr Micros kHeardWithin = 2500 * kMilli;
+constexpr Micros kPushedHeardWithin = 250 * kMilli;
+// Once silent calls are known, a sign of life is asked for this often.
+constexpr Micros kSign = 400 * kMilli;
+// What an answer itself is presumed to need: the last try before a due begins so much earlier.
+constexpr Micros kAnswer = 600 * kMilli;
+// Parts of what is left until the due: as long a pause leaves room for three more tries.
+constexpr Micros kLeastPause = 100 * kMilli, kPushedPause = 50 * kMilli;
+constexpr int kDoublings = 3;          // of pauses, while no due presses
+constexpr double kCall = 10 * kMilli;  // see recovery/asking
+// A watch that brings no change and ends before its time is not made anew at once, so that a
+// discovery that always answers at once is not called without end. Below the 200 ms within which it
+// is still the same watch.
+constexpr Micros kRenewPause = 80 * kMilli;
+
+/// By when what a call may miss by falling silent has to be known.
+Micros due_of(Micros begun, Micros wait) { return begun + std::max(kSilentTold, wait + kWaitTold); }
+
+double between(double from, double to, double chance) { return from + (to - from) * chance; }
+
+}  // namespace
+
+double Watching::tier_calls() const { return kCall * std::max(1, routers_); }
+
+void Watching::stretch(double by) { stretch_ = std::clamp(stretch_ * by, 1.0, kMostStretch); }
+
+void Watching::owe(Micros due) { due_ = due_ == kNever ? due : std::min(due_, due); }
+
+Watching::Call Watching::make(Micros now, bool watches, double chance) {
+  // Beside what is out; where all slots are, in place of the oldest.
+  std::size_t slot = 0;
+  for (std::size_t k = 0; k < calls_.size(); ++k) {
+    if (!calls_[k].out) {
+      slot = k;
+      break;
+    }
+    if (calls_[k].begun < calls_[slot].begun) slot = k;
+  }
+  if (calls_[slot].out) owe(due_of(calls_[slot].begun, calls_[slot].wait));
+  Micros wait = 0;
+  if (watches)
+    wait = pushed_ ? kPushedWait
+                   : static_cast<Micros>(
+                         stretch_ * between(kShortestWait, kLongestWait / kMostStretch, chance));
+  calls_[slot] = {true, wait, now};
+  Micros heard =
+      pushed_ ? kPushedHeardWithin
+              : static_cast<Micros>(static_cast<double>(kHeardWithin) * between(1, 1.2, chance));
+  if (watches) {
+    // Of the same chance's lower digits: 20 s and 28 s must not go with one lead each.
+    double other = chance * 64 - std::floor(chance * 64);
+    heard = pushed_ ? wait + kPushedHeardWithin
+                    : wait - static_cast<Micros>(between(kLead, kMostLead, other));
+  } else if (!pushed_) {
+    // Where less is left, half of it: one more call has to fit in behind.
+    Micros due = due_of(now, 0);
+    if (due_ != kNever) due = std::min(due, due_);
+    if (due > now)
+      heard = std::min(heard, std::max(kSign, (due - now) / 2));
+    else
+      heard = std::max(heard, static_cast<Micros>(tier_calls() * between(0.5, 1, chance)));
+  }
+  next_ = now + heard;
+  next_watches_ = false;
+  return {static_cast<int>(slot), wait};
+}
+
+Watching::Call Watching::begin(Micros now, double chance) {
+  for (One& one : calls_)
+    if (one.out) owe(due_of(one.begun, one.wait));
+  return make(now, false, chance);
+}
+
+void Watching::move(Micros now, Micros within) {
+  stop();
+  owe(now + within);
+}
+
+void Watching::drop_before(Micros begun) {
+  for (One& one : calls_)
+    if (one.out && one.begun < begun) one.out = false;
+}
+
+bool Watching::answered(Micros now, int slot, bool news, double chance) {
+  One& one = calls_[static_cast<std::size_t>(slot)];
+  if (!one.out) return false;
+  One was = one;
+  one.out = false;
+  if (was.wait == 0) stretch(now - was.begun > kSlowAnswer ? kStretchSlow : kUnstretch);
+  drop_before(was.begun);
+  failures_ = 0;
+  due_ = kNever;
+  for (const One& other : calls_)
+    if (other.out) return true;  // a later one: it goes on
+  // A watch with gaps is a new one.
+  bool early = was.wait > 0 && !news && now - was.begun < was.wait / 2;
+  next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
+  next_watches_ = true;
+  return true;
+}
+
+Micros Watching::pause(Micros now, double chance) {
+  ++failures_;
+  if (pushed_)
+    return static_cast<Micros>(kPushedPause * std::min(failures_, 5) * between(0.5, 1.5, chance));
+  // As the tier's calls allow where there is time, sooner towards the due, and slower again once it
+  // has passed: nobody is helped then by calls that discovery has to turn away.
+  double most = std::max<double>(kSign, tier_calls()) * (1 << std::min(failures_ - 1, kDoublings));
+  double left = due_ == kNever ? most : static_cast<double>(due_ - now - kAnswer) / 3;
+  if (due_ != kNever && now > due_) left = most;
+  double span = std::clamp(left, std::max<double>(kLeastPause, tier_calls() / 10), most);
+  return static_cast<Micros>(span * between(0.5, 1, chance));
+}
+
+bool Watching::failed(Micros now, int slot, Fault fault, double chance) {
+  One& one = calls_[static_cast<std::size_t>(slot)];
+  if (!one.out) return false;
+  One was = one;
+  one.out = false;
+  if (fault == Fault::Refused) stretch(kStretchRefused);
+  if (fault == Fault::TimedOut) owe(due_of(was.begun, was.wait));
+  if (fault == Fault::Spoilt) owe(now + kSpoiltTold);
+  bool others = false;
+  for (const One& other : calls_) {
+    if (!other.out) continue;
+    others = true;
+    // It may be silent: one that this call was to find out about.
+    if (other.begun < was.begun) owe(due_of(other.begun, other.wait));
+  }
+  if (!pushed_ && !others && due_ == kNever) {
+    next_ = kNever;
+    return true;
+  }
+  // The later call that is out has its own time; this one is made again before that.
+  Micros again = now + pause(now, chance);
+  next_ = next_ == kNever ? again : std::min(next_, again);
+  next_watches_ = false;
+  return false;
+}
+
+void Watching::stop() {
+  calls_ = {};
+  next_ = due_ = kNever;
+  failures_ = 0;
+}
+
+std::optional<Watching::Call> Watching::advance(Micros now, double chance) {
+  if (next_ == kNever || now < next_) return std::nullopt;
+  for (const One& one : calls_)
+    if (one.out) owe(due_of(one.begun, one.wait));
+  return make(now, next_watches_, chance);
+}
+
+}  // namespace robinseam::membership
--- /dev/null
+++ b/src/membership/watching.hpp
@@ -0,0 +1,90 @@
+// When discovery is called so that what it has to tell is known before it counts as told, whatever
+// becomes of single calls. Pure: events with their time and chances come in, calls to make go out.
+//
+// The one budget (docs/design/membership.md): what a call that falls silent misses counts as told 6
+// s after it fell silent, or 2 s after the wait that it was given, if that is later. A router sees
+// only that nothing comes, so from the beginning of each call that is not answered there is a
+// moment, its due, by which another call must have been answered. Any answer settles all dues of
+// calls that began before it. Everything here is counted backwards from the nearest due.
+#pragma once
+
+#include <array>
+#include <optional>
+
+#include "robinseam/balancer.hpp"
+
+namespace robinseam::membership {
+
+/// How a call ended that brought no list that counts.
+enum class Fault {
+  Refused,  ///< turned away, reset or unreachable: discovery lives or nobody is there
+  Spoilt,   ///< an answer that broke off, can't be read or may not count
+  TimedOut  ///< given up: nothing was heard
+};
+
+class Watching {
+ public:
+  static constexpr int kSlots = 3;  ///< calls out at once
+  static constexpr Micros kNever = -1;
+
+  /// `routers`: of the tier, 1 or more. `pushed`: the other side is an agent on the router's own
+  /// machine, whose calls cost nothing and which may be silent at any time.
+  Watching(int routers, bool pushed) : routers_(routers), pushed_(pushed) {}
+
+  /// A call to make now: in that slot, where what is out is dropped. `wait`: for news; 0: it is to
+  /// be answered at once.
+  struct Call {
+    int slot = 0;
+    Micros wait = 0;
+  };
+  static constexpr Micros kLongestWait = 56'000'000;
+  /// Begins, or begins anew, with a call that is answered at once. `chance` is uniform from 0 to 1
+  /// in all of these.
+  Call begin(Micros now, double chance);
+  /// Another discovery: what was out at the one before is not owed any more, and what the new one
+  /// has to tell counts as told within `within`.
+  void move(Micros now, Micros within);
+  /// A list that counts has come, with changes or without: true where the call in that slot was one
+  /// that is out. Whatever is out from before it may be dropped: `dropped` names the slots.
+  bool answered(Micros now, int slot, bool news, double chance);
+  /// True where nobody else is out and nothing is owed, so that the next call is the caller's to
+  /// choose; else the machine makes it itself.
+  bool failed(Micros now, int slot, Fault fault, double chance);
+  /// No call is out and none will be made.
+  void stop();
+
+  /// When advance() has to be called; kNever: there is nothing to wait for.
+  Micros next() const { return next_; }
+  std::optional<Call> advance(Micros now, double chance);
+
+  bool out(int slot) const { return calls_[static_cast<std::size_t>(slot)].out; }
+  /// By when another call must have been answered; kNever: nothing is owed.
+  Micros due() const { return due_; }
+  /// Something may count as told that has not been heard: the held list may be too old.
+  bool overdue(Micros now) const { return due_ != kNever && now > due_; }
+
+ private:
+  struct One {
+    bool out = false;
+    Micros wait = 0;
+    Micros begun = 0;
+  };
+  Call make(Micros now, bool watches, double chance);
+  void owe(Micros due);
+  void stretch(double by);
+  void drop_before(Micros begun);
+  /// Until the next call after one that failed while something is owed or out.
+  Micros pause(Micros now, double chance);
+  double tier_calls() const;
+
+  int routers_;
+  bool pushed_;
+  std::array<One, kSlots> calls_{};
+  Micros next_ = kNever;
+  Micros due_ = kNever;
+  bool next_watches_ = false;  // what next_ begins: a watch, or a call that is answered at once
+  int failures_ = 0;           // in a row
+  double stretch_ = 1;         // of waits, 1 to 2
+};
+
+}  // namespace robinseam::membership
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,37 +1,27 @@
 #include "discovery.hpp"
 
-#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace arrowfork {
 namespace {
 
 const char* const kPath = "/discovery/hosts";
-// How long a watch may wait at discovery. Each call costs it work, so not much shorter.
-constexpr int kWaitMs = 20'000;
-// The first call of a watch returns at once, so that the module learns that it is watching.
-constexpr int kFirstWaitMs = 1;
+// A call that is answered at once.
+constexpr int kShortWaitMs = 1;
 // A call that is not answered this long after its wait has failed: discovery answers or fails what
 // it can't do within seconds, so silence means that it can't be reached.
 constexpr Micros kCallTime = 4 * kSecond;
-// A watch whose call has been silent for so long is begun anew beside it, whatever the call may yet
-// bring. What discovery has to tell counts as told 6 s after a call fell silent, or 2 s after its
-// wait was over: a call that was given up after kCallTime, and then a pause, was later than that
-// (join+mass 454547756054, one play of nine: eight requests to servers that drained 0.63 s before).
-// Discovery fails what it can't do within 2 s, and answers a watch of which nothing came when its
-// wait is over.
-constexpr Micros kSilentCall = 2500 * kMillisecond;
-constexpr Micros kSilentWatch = kSecond;
-constexpr Micros kInsistPause = kSecond;
-// A new address may come up a little after the configuration that names it, and must be in use
-// within 4 s of it: it is tried this often, this many times, before it counts as failed.
-constexpr Micros kMovePause = kSecond / 4;
-constexpr int kMoveTries = 16;
-// Before a watch that brought no change is renewed, so that a discovery that always answers at once
-// is not called without end. Within 200 ms it is still the same watch.
-constexpr Micros kRenewPause = kSecond / 10;
+// An answer that has begun is whole this soon, or will not be: a list is written at once, and of a
+// watch that stops short in it the change counts as told 6 s later, whatever its wait (seen:
+// calm+disco+brink+mass 10, an answer that stopped at 3.25 s, drains broken from 10.13 s on).
+constexpr Micros kAnswerTime = 1500 * kMillisecond;
+// What discovery has to tell counts as told so long after a configuration that names another
+// address.
+constexpr Micros kMoveWithin = 4 * kSecond;
 // A list of hundreds of servers is some 60 KiB; as JSON in memory it takes several times its text.
 constexpr ev_ssize_t kMaxBody = 512 << 10;
 constexpr ev_ssize_t kMaxHeaders = 16 << 10;
@@ -65,6 +55,8 @@
 
 void DiscoveryCall::start(const std::string& path, Micros limit) {
   stop();
+  fault_ = Fault::Refused;
+  begun_ = false;
   ++counts_.calls;
   connection_.reset(evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_));
   evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
@@ -76,6 +68,9 @@
   evhttp_request_set_error_cb(request, on_error);
   evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
+  limit_ = limit;
+  evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection_.get())),
+                  on_bytes, this);
   // For the whole call: evhttp's own time-outs begin again with every byte that trickles in.
   timeval limit_tv = timeval_of(limit);
   event_add(ready_.get(), &limit_tv);
@@ -86,6 +81,14 @@
     event_active(ready_.get(), 0, 0);
 }
 
+/// The answer's first bytes: its time is another from here on.
+void DiscoveryCall::on_bytes(evbuffer*, const evbuffer_cb_info* info, void* self) {
+  auto* call = static_cast<DiscoveryCall*>(self);
+  if (info->n_added == 0 || std::exchange(call->begun_, true)) return;
+  timeval limit = timeval_of(std::min(call->limit_, kAnswerTime));
+  event_add(call->ready_.get(), &limit);
+}
+
 void DiscoveryCall::on_answer(evhttp_request* request, void* self) {
   auto* call = static_cast<DiscoveryCall*>(self);
   call->result_.reset();
@@ -106,6 +109,7 @@
 
 void DiscoveryCall::bad(const char* what) {
   ++counts_.bad;
+  fault_ = Fault::Spoilt;
   std::fprintf(stderr, "arrowfork: discovery %s: %s\n", authority_.c_str(), what);
 }
 
@@ -120,8 +124,14 @@
   if (error == EVREQ_HTTP_DATA_TOO_LONG) call->bad("an answer without end");
 }
 
-void DiscoveryCall::on_ready(evutil_socket_t, short, void* self) {
+void DiscoveryCall::on_ready(evutil_socket_t, short what, void* self) {
   auto* call = static_cast<DiscoveryCall*>(self);
+  if (what & EV_TIMEOUT) {
+    if (call->begun_)
+      call->bad("the answer stopped short");
+    else
+      call->fault_ = Fault::TimedOut;
+  }
   call->connection_.reset();
   call->request_ = nullptr;
   std::optional<HostList> result = std::exchange(call->result_, std::nullopt);
@@ -129,24 +139,27 @@
   call->done_(std::move(result));
 }
 
-Discovery::Discovery(event_base* base, const std::string& address, const HostList& known,
-                     bool insist, std::uint64_t seed, Handler& handler)
+Discovery::Discovery(event_base* base, const TimeSource& clock, const std::string& address,
+                     const HostList& known, int routers, bool pushed, std::uint64_t seed,
+                     Handler& handler)
     : base_(base),
+      clock_(clock),
       handler_(handler),
-      insist_(insist),
       address_(address),
-      watch_(watch_at(address)),
+      watching_(routers, pushed),
       fetch_(fetch_at(address)),
       random_(static_cast<std::minstd_rand::result_type>(seed)) {
   again_.reset(event_new(base, -1, 0, on_again, this));
-  silent_.reset(event_new(base, -1, 0, on_silent, this));
+  look_.reset(event_new(base, -1, 0, on_look, this));
+  for (std::size_t slot = 0; slot < calls_.size(); ++slot) calls_[slot] = watch_at(slot);
   guard_.hold(known);
-  if (insist_) watch();
+  if (pushed) watch();
 }
 
-Discovery::Call Discovery::watch_at(const std::string& address) {
+Discovery::Call Discovery::watch_at(std::size_t slot) {
   return std::make_unique<DiscoveryCall>(
-      base_, address, counts_, [this](std::optional<HostList> list) { take(std::move(list)); });
+      base_, address_, counts_,
+      [this, slot](std::optional<HostList> list) { take(slot, std::move(list)); });
 }
 
 Discovery::Call Discovery::fetch_at(const std::string& address) {
@@ -168,39 +181,40 @@
 void Discovery::move_to(const std::string& address) {
   if (!guard_.version().empty() ||
       !old_watch_) {  // else it never answered, and the one before still may
-    old_watch_ = std::move(watch_);
+    // The watch that waits, or what was to tell whether that is still there.
+    std::size_t last = 0;
+    for (std::size_t slot = 0; slot < calls_.size(); ++slot)
+      if (calls_[slot]->out() &&
+          (!calls_[last]->out() || calls_[slot]->limit() > calls_[last]->limit()))
+        last = slot;
+    old_watch_ = std::move(calls_[last]);
     old_guard_ = guard_;
     old_watch_->hand_over([this](std::optional<HostList> list) { take_old(std::move(list)); });
   }
-  older_.reset();
   address_ = address;
-  watch_ = watch_at(address);
+  for (std::size_t slot = 0; slot < calls_.size(); ++slot) calls_[slot] = watch_at(slot);
   fetch_ = fetch_at(address);
   guard_.forget_version();
-  renewing_ = false;
-  moving_ = kMoveTries;
-  call();
+  watching_.move(clock_.now(), kMoveWithin);
+  watch();
 }
 
 /// The last word of the old address. The list that the new one is making may be older than a change
 /// told here: it is asked anew.
 void Discovery::take_old(std::optional<HostList> list) {
   if (!may_count(old_guard_, list) || (!list->whole && list->hosts.empty())) return;
-  if (guard_.version().empty()) call();
+  if (guard_.version().empty()) watch();
   handler_.on_hosts(std::move(*list));
 }
 
 void Discovery::watch() {
-  renewing_ = false;
-  if (watch_->out()) older_ = std::exchange(watch_, watch_at(address_));
-  call();
+  event_del(look_.get());
+  call(watching_.begin(clock_.now(), chance()));
 }
 
 void Discovery::look_again(Micros span) {
-  renewing_ = false;
-  double part = std::uniform_real_distribution<>()(random_);
-  timeval wait = timeval_of(static_cast<Micros>(part * static_cast<double>(span)));
-  event_add(again_.get(), &wait);
+  timeval wait = timeval_of(static_cast<Micros>(chance() * static_cast<double>(span)));
+  event_add(look_.get(), &wait);
 }
 
 void Discovery::fetch() {
@@ -209,30 +223,34 @@
 }
 
 void Discovery::stop() {
-  watch_->stop();
-  older_.reset();
+  watching_.stop();
+  follow();
   fetch_->stop();
   old_watch_.reset();
-  event_del(again_.get());
-  event_del(silent_.get());
+  event_del(look_.get());
 }
 
-void Discovery::call() {
-  event_del(again_.get());
-  bool waits = renewing_ && !guard_.version().empty() && !ask_whole_;
-  // Up to a fifth more: calls that fell silent together would else be made again together.
-  double part = 1 + 0.2 * std::uniform_real_distribution<>()(random_);
-  timeval silent = timeval_of((waits ? kWaitMs * kMillisecond : 0) +
-                              static_cast<Micros>(part * (waits ? kSilentWatch : kSilentCall)));
-  event_add(silent_.get(), &silent);
+void Discovery::call(const robinseam::membership::Watching::Call& call) {
+  DiscoveryCall& out = *calls_[static_cast<std::size_t>(call.slot)];
   if (guard_.version().empty() || ask_whole_) {
-    watch_->start(kPath, kCallTime);
-    return;
+    out.start(kPath, kCallTime);
+  } else {
+    int wait = std::max(kShortWaitMs, static_cast<int>(call.wait / kMillisecond));
+    out.start(std::string(kPath) + "?index=" + escaped(guard_.version()) +
+                  "&wait=" + std::to_string(wait),
+              wait * kMillisecond + kCallTime);
   }
-  int wait = renewing_ ? kWaitMs : kFirstWaitMs;
-  watch_->start(
-      std::string(kPath) + "?index=" + escaped(guard_.version()) + "&wait=" + std::to_string(wait),
-      wait * kMillisecond + kCallTime);
+  follow();
+}
+
+void Discovery::follow() {
+  // Stopped and not freed, since one of them may be what tells of this.
+  for (int slot = 0; slot < static_cast<int>(calls_.size()); ++slot)
+    if (!watching_.out(slot)) calls_[static_cast<std::size_t>(slot)]->stop();
+  event_del(again_.get());
+  if (watching_.next() == robinseam::membership::Watching::kNever) return;
+  timeval wait = timeval_of(std::max<Micros>(0, watching_.next() - clock_.now()));
+  event_add(again_.get(), &wait);
 }
 
 bool Discovery::may_count(ListGuard& guard, const std::optional<HostList>& list) {
@@ -244,55 +262,35 @@
   return false;
 }
 
-void Discovery::take(std::optional<HostList> list) {
-  // One of two that failed: the other may still be answered. Stopped and not freed, since it may
-  // be the one that tells this.
-  if (!list && (watch_->out() || (older_ && older_->out()))) return;
-  if (older_) older_->stop();
-  watch_->stop();
-  event_del(silent_.get());
+void Discovery::take(std::size_t slot, std::optional<HostList> list) {
   bool counts = may_count(guard_, list);
-  ask_whole_ = list && !counts;
+  if (list) ask_whole_ = !counts;
   if (!counts) {
-    renewing_ = false;
-    if (moving_ > 0) {
-      --moving_;
-      again_in(kMovePause);
-    } else if (insist_) {
-      again_in(kInsistPause);
-    } else {
-      handler_.on_hosts_failed();
-    }
+    bool alone =
+        watching_.failed(clock_.now(), static_cast<int>(slot),
+                         list ? DiscoveryCall::Fault::Spoilt : calls_[slot]->fault(), chance());
+    follow();
+    if (alone) handler_.on_hosts_failed();
     return;
   }
-  moving_ = 0;
   old_watch_.reset();
-  if (list->whole || !list->hosts.empty()) fetch_overlapped_ = true;
-  // The next call at once: a watch with gaps is a new one.
-  bool news = !list->whole && !list->hosts.empty();
-  if (std::exchange(renewing_, true) && !news)
-    again_in(kRenewPause);
-  else
-    call();
+  bool news = list->whole || !list->hosts.empty();
+  if (news) fetch_overlapped_ = true;
+  watching_.answered(clock_.now(), static_cast<int>(slot), news, chance());
+  follow();
   handler_.on_hosts(std::move(*list));
 }
 
-void Discovery::again_in(Micros pause) {
-  // Routers whose calls ended together would else go on in step.
-  double part = 0.5 + std::uniform_real_distribution<>()(random_);
-  timeval wait = timeval_of(static_cast<Micros>(part * static_cast<double>(pause)));
-  event_add(again_.get(), &wait);
-}
-
-void Discovery::on_silent(evutil_socket_t, short, void* self) {
+void Discovery::on_again(evutil_socket_t, short, void* self) {
   auto* d = static_cast<Discovery*>(self);
-  // Two calls at a time: what the second one comes to decides.
-  if (!d->watch_->out() || (d->older_ && d->older_->out())) return;
-  d->watch();
+  if (auto call = d->watching_.advance(d->clock_.now(), d->chance()))
+    d->call(*call);
+  else
+    d->follow();
 }
 
-void Discovery::on_again(evutil_socket_t, short, void* self) {
-  static_cast<Discovery*>(self)->call();
+void Discovery::on_look(evutil_socket_t, short, void* self) {
+  static_cast<Discovery*>(self)->watch();
 }
 
 }  // namespace arrowfork
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -32,8 +32,8 @@
 // The process is seen to have stood still where a pulse comes this late.
 constexpr Micros kPulse = kSecond / 2;
 constexpr Micros kStoodStill = 2 * kSecond;
-// A list counts as of now until a watch that waits its longest should have ended.
-constexpr Micros kFresh = 25 * kSecond;
+// A list counts as of now until a watch that waits its longest should have been answered for.
+constexpr Micros kFresh = robinseam::membership::Watching::kLongestWait + 2 * kSecond;
 // A server that is live over less than this part of its slots is avoided.
 constexpr double kAvoided = 0.05;
 // What one process of an upgrade is left with at least.
@@ -106,8 +106,8 @@
       core_(make_core(config, clock, *this)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       clients_(base, clock_, core_, servers_, client_limits(config)),
-      discovery_(base, config.discovery, config.known, !config.settings.must_ask, config.seed,
-                 *this),
+      discovery_(base, clock_, config.discovery, config.known, config.settings.routers,
+                 !config.settings.must_ask, config.seed, *this),
       ban_file_(state_path(config, ".bans")),
       recovery_(config.settings.routers, clock.now(), kFresh),
       pulse_at_(clock.now()) {
@@ -256,6 +256,7 @@
 // ---- discovery ----
 
 void Router::on_hosts(HostList&& told) {
+  note_leaving(told);
   HostList list = hand_.take(std::move(told));
   servers_.take_list(list);
   core_.list(list.whole ? ListScope::Full : ListScope::Delta, servers_of(list));
@@ -264,6 +265,22 @@
   take_over_if_ready();
 }
 
+/// One line of the servers that a list newly announces as leaving or gone, with when it came.
+void Router::note_leaving(const HostList& told) const {
+  constexpr std::size_t kNamed = 16;
+  std::size_t count = 0;
+  std::string names;
+  for (const Host& h : told.hosts) {
+    auto at = hand_.listed().find(h.server.id);
+    bool leaves = h.server.health != robinseam::Health::Ready && at != hand_.listed().end() &&
+                  at->second.server.health == robinseam::Health::Ready;
+    if (leaves && ++count <= kNamed) names += ' ' + h.server.id;
+  }
+  if (count == 0) return;
+  std::fprintf(stderr, "arrowfork: list %s: %zu leaving:%s%s\n", told.version.c_str(), count,
+               names.c_str(), count > kNamed ? " ..." : "");
+}
+
 void Router::on_hosts_failed() {
   core_.list(ListScope::Failed, {});
   recovery_.failed(clock_.now());
@@ -298,14 +315,20 @@
       v.why, discovery_.version().empty() ? "none" : discovery_.version().c_str(),
       v.list_age < 0 ? "not confirmed yet"
                      : ("told " + std::to_string(v.list_age / kSecond) + " s ago").c_str(),
-      v.old ? ", may be old" : "");
+      list_is_old(v) ? ", may be old" : "");
   return text;
 }
 
+/// Discovery's own word for it goes before the age: what has been missed counts by now.
+bool Router::list_is_old(const robinseam::recovery::Recovery::View& view) const {
+  return view.old || discovery_.overdue();
+}
+
 void Router::on_pulse(evutil_socket_t, short, void* self) {
   auto* r = static_cast<Router*>(self);
   Micros now = r->clock_.now();
   if (r->memory_) r->memory_->pump();
+  r->note_overdue();
   if (now - std::exchange(r->pulse_at_, now) < kPulse + kStoodStill) return;
   // What is held is from before: discovery is asked what has changed since. Whatever stopped this
   // process may have stopped the whole tier, so within the time that a tier's calls need.
@@ -315,6 +338,17 @@
   std::fprintf(stderr, "arrowfork: the process stood still; discovery is asked anew\n");
 }
 
+/// Said once as it begins and once as it ends. The list stays in use, drained servers and all: with
+/// discovery away no server is known to be better than the ones that are held.
+void Router::note_overdue() {
+  bool overdue = discovery_.overdue();
+  if (overdue == std::exchange(told_overdue_, overdue)) return;
+  std::fprintf(stderr, "arrowfork: discovery: %s; list %s\n",
+               overdue ? "no answer in the time in which changes count as told"
+                       : "answers again, the list is of now",
+               discovery_.version().empty() ? "none" : discovery_.version().c_str());
+}
+
 // ---- operators ----
 
 bool Router::ready() const {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -106,6 +106,9 @@
   void note_recovery();
   /// One line for those who ask whether it is ready.
   std::string recovery_line();
+  bool list_is_old(const robinseam::recovery::Recovery::View& view) const;
+  void note_overdue();
+  void note_leaving(const HostList& told) const;
   void arm();
   /// Every figure under its name, for the log and for a client's STAT.
   std::vector<std::pair<std::string, std::string>> stats() const;
@@ -124,6 +127,7 @@
   BanFile ban_file_;
   mutable robinseam::recovery::Recovery recovery_;  // its view moves on with time alone
   robinseam::recovery::Phase told_phase_ = robinseam::recovery::Phase::Starting;
+  bool told_overdue_ = false;
   std::uint64_t served_seen_ = 0, unserved_seen_ = 0;
   Micros pulse_at_;
   std::unique_ptr<Control> control_;
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -80,7 +80,7 @@
   add("writes_forgotten", m.writes_forgotten);
   all.emplace_back("list_version", discovery_.version().empty() ? "none" : discovery_.version());
   add("list_age_ms", back.list_age < 0 ? -1 : back.list_age / kMillisecond);
-  add("list_old", back.old ? 1 : 0);
+  add("list_old", list_is_old(back) ? 1 : 0);
   add("servers", m.servers);
   part("servers_live", m.live);
   part("near", m.near_pull);
--- /dev/null
+++ b/tests/membership/watching_test.cpp
@@ -0,0 +1,257 @@
+// Calls on discovery in virtual time: whatever becomes of single calls, a change is known before it
+// counts as told.
+#include "membership/watching.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace robinseam::membership {
+namespace {
+
+constexpr Micros kMilli = 1000, kSecond = 1000 * kMilli;
+
+enum class Fate { Answered, Late, Refused, Spoilt, Silent };
+constexpr int kFates = 5;
+
+/// Routers before one discovery that works on calls in turn. Watches that are out at `silent_at`
+/// never tell anything more; the change comes right after.
+struct Tier {
+  struct Out {
+    int made = 0;
+    Micros begun = 0, wait = 0;
+    bool dead = false;  // silent
+  };
+  struct Router {
+    Watching watching;
+    std::array<Out, Watching::kSlots> out{};
+    Micros told_at = -1, due = -1, alarm = -1;
+    int calls = 0, failures = 0;
+  };
+  Tier(int n, Micros work, unsigned seed) : random(seed), work_(work) {
+    for (int k = 0; k < n; ++k) routers.push_back({Watching(n, false), {}, -1, -1, -1, 0, 0});
+  }
+  void at(Micros t, std::function<void()> what) { events.push({t, order++, std::move(what)}); }
+  double chance() { return std::uniform_real_distribution<>()(random); }
+
+  void start(std::size_t r) { made(r, routers[r].watching.begin(now, chance())); }
+  void made(std::size_t r, Watching::Call call) {
+    Router& one = routers[r];
+    Out& out = one.out[static_cast<std::size_t>(call.slot)];
+    out = {++one.calls, now, call.wait, false};
+    calls_at.push_back(now);
+    Fate fate = fates ? fates(one.calls) : Fate::Answered;
+    int made = out.made, slot = call.slot;
+    Micros begin = std::max(now, busy_until), ready = begin + work_;
+    bool refused = begin - now > 2 * kSecond || fate == Fate::Refused;
+    if (!refused) busy_until = ready;
+    if (fate == Fate::Late) ready += 2 * kSecond;
+    if (refused)
+      at(fate == Fate::Refused ? now + kMilli : now + 2 * kSecond,
+         [=, this] { failed(r, slot, made, Fault::Refused); });
+    else if (fate == Fate::Spoilt)
+      at(ready, [=, this] { failed(r, slot, made, Fault::Spoilt); });
+    else if (fate == Fate::Silent)
+      out.dead = true;
+    else
+      at(ready, [=, this] { worked(r, slot, made); });
+    at(now + call.wait + 4 * kSecond, [=, this] { failed(r, slot, made, Fault::TimedOut); });
+    follow(r);
+  }
+  bool is_out(std::size_t r, int slot, int made) {
+    return routers[r].watching.out(slot) &&
+           routers[r].out[static_cast<std::size_t>(slot)].made == made;
+  }
+  void worked(std::size_t r, int slot, int made) {
+    if (!is_out(r, slot, made)) return;
+    Out& out = routers[r].out[static_cast<std::size_t>(slot)];
+    // What is new ends a watch at once.
+    bool news = changed_at >= 0 && routers[r].told_at < 0;
+    if (out.wait == 0 || news)
+      answer(r, slot, made);
+    else
+      at(out.begun + out.wait, [=, this] { answer(r, slot, made); });
+  }
+  void answer(std::size_t r, int slot, int made) {
+    Router& one = routers[r];
+    if (!is_out(r, slot, made) || one.out[static_cast<std::size_t>(slot)].dead) return;
+    bool news = changed_at >= 0 && one.told_at < 0;
+    if (news) one.told_at = now;
+    one.failures = 0;
+    one.watching.answered(now, slot, news, chance());
+    follow(r);
+  }
+  void failed(std::size_t r, int slot, int made, Fault fault) {
+    if (!is_out(r, slot, made)) return;
+    // Alone: the module's pause after a failed call (Asking::failed, with a list in hand).
+    if (routers[r].watching.failed(now, slot, fault, chance())) {
+      double most = static_cast<double>(2 * kSecond << std::min(routers[r].failures++, 2));
+      at(now + static_cast<Micros>(chance() * most), [=, this] { start(r); });
+    }
+    follow(r);
+  }
+  void follow(std::size_t r) {
+    Router& one = routers[r];
+    if (one.watching.next() == Watching::kNever || one.alarm == one.watching.next()) return;
+    Micros t = one.alarm = one.watching.next();
+    at(std::max(t, now), [=, this] {
+      Router& due = routers[r];
+      if (due.alarm != t) return;
+      due.alarm = -1;
+      if (due.watching.next() != t) return follow(r);
+      if (auto call = due.watching.advance(now, chance())) made(r, *call);
+    });
+  }
+  /// All watches that are out fall silent, and something changes.
+  void fall_silent() {
+    changed_at = now;
+    for (Router& one : routers) {
+      for (Out& out : one.out)
+        if (one.watching.out(static_cast<int>(&out - one.out.data())) && out.wait > 0 &&
+            !out.dead) {
+          out.dead = true;
+          one.due = std::max(now + 6 * kSecond, out.begun + out.wait + 2 * kSecond);
+        }
+    }
+  }
+  void run(Micros until) {
+    while (!events.empty() && events.top().at <= until) {
+      Event e = events.top();
+      events.pop();
+      now = e.at;
+      e.what();
+    }
+    now = until;
+  }
+
+  struct Event {
+    Micros at;
+    int order;
+    std::function<void()> what;
+    bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  std::vector<Router> routers;
+  std::function<Fate(int call)> fates;
+  std::vector<Micros> calls_at;
+  std::priority_queue<Event> events;
+  std::mt19937 random;
+  Micros now = 0, busy_until = 0, changed_at = -1, work_;
+  int order = 0;
+};
+
+// The watch has fallen silent; then each order of what may become of the next three calls. One or
+// two that are silent or late fit before the due, and any that are turned away or spoilt; where the
+// change is not known by then, the router knows that its list may be old, and goes on asking.
+TEST(Watching, EveryOrderOfSilentRefusedSpoiltLateAndAnsweredKeepsTheBudgetOrSaysSo) {
+  for (int code = 0; code < kFates * kFates * kFates; ++code) {
+    Fate three[] = {static_cast<Fate>(code % kFates), static_cast<Fate>(code / kFates % kFates),
+                    static_cast<Fate>(code / kFates / kFates)};
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+      Tier tier(1, 20 * kMilli, seed);
+      tier.start(0);
+      tier.run(kSecond);
+      int before = tier.routers[0].calls;
+      tier.fates = [&](int call) {
+        int k = call - before - 1;
+        return k < 3 ? three[k] : Fate::Answered;
+      };
+      tier.fall_silent();
+      Tier::Router& one = tier.routers[0];
+      tier.run(one.due);
+      bool known = one.told_at >= 0;
+      auto slow = [](Fate f) { return f == Fate::Silent; };
+      if (std::count_if(three, three + 3, slow) <= 1) {
+        EXPECT_TRUE(known) << code << ' ' << seed;
+      }
+      tier.run(one.due + 1);
+      EXPECT_TRUE(known || one.watching.overdue(tier.now)) << code << ' ' << seed;
+      tier.run(one.due + 10 * kSecond);
+      EXPECT_GE(one.told_at, 0) << code << ' ' << seed;
+      EXPECT_FALSE(one.watching.overdue(tier.now)) << code << ' ' << seed;
+    }
+  }
+}
+
+// The case: all watches silent within seconds of the start, one discovery for all, which
+// takes 2 to 8 s for a call of every router.
+TEST(Watching, ATierWhoseWatchesAllFallSilentKnowsAChangeBeforeItCounts) {
+  struct Case {
+    int routers;
+    Micros work, silent_at;
+  };
+  const Case cases[] = {{1, 300 * kMilli, kSecond},       {6, 333 * kMilli, 2 * kSecond},
+                        {14, 300 * kMilli, 4 * kSecond},  {100, 27 * kMilli, 3 * kSecond},
+                        {350, 7 * kMilli, 1 * kSecond},   {350, 7 * kMilli, 5 * kSecond},
+                        {350, 22 * kMilli, 1 * kSecond},  {350, 22 * kMilli, 2 * kSecond},
+                        {350, 22 * kMilli, 10 * kSecond}, {1024, 7 * kMilli, 5 * kSecond},
+                        {1024, 7 * kMilli, 20 * kSecond}};
+  for (const Case& c : cases)
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      Tier tier(c.routers, c.work, seed);
+      // As the module begins: spread over 0.4 of the 10 s within which each has to ask.
+      for (std::size_t r = 0; r < tier.routers.size(); ++r)
+        tier.at(static_cast<Micros>(tier.chance() * 4 * kSecond), [&tier, r] { tier.start(r); });
+      tier.run(c.silent_at);
+      tier.fall_silent();
+      std::size_t calls = tier.calls_at.size();
+      tier.run(c.silent_at + 60 * kSecond);
+      Micros least = kSecond * 1000;
+      for (const Tier::Router& one : tier.routers) {
+        if (one.due < 0) continue;  // had no watch
+        ASSERT_GE(one.told_at, 0) << c.routers << ' ' << c.work << ' ' << seed;
+        least = std::min(least, one.due - one.told_at);
+      }
+      EXPECT_GT(least, 200 * kMilli)
+          << c.routers << ' ' << c.work << ' ' << c.silent_at << ' ' << seed;
+      // Two calls in 10 s of a watch at the least, and those that are turned away come again.
+      EXPECT_LT(tier.calls_at.size() - calls, tier.routers.size() * 16) << c.routers << ' ' << seed;
+    }
+}
+
+// In quiet times: two calls a router in 20 s, whose peak does not stay where the start put it.
+TEST(Watching, WatchesBegunTogetherSpread) {
+  for (int routers : {14, 350, 1024}) {
+    Tier tier(routers, kMilli, 1);
+    for (std::size_t r = 0; r < tier.routers.size(); ++r) tier.start(r);
+    tier.run(80 * kSecond);
+    auto count = [&](Micros from, Micros to) {
+      return static_cast<int>(std::count_if(tier.calls_at.begin(), tier.calls_at.end(),
+                                            [&](Micros t) { return t >= from && t < to; }));
+    };
+    EXPECT_NEAR(count(20 * kSecond, 80 * kSecond), routers * 7, routers + 4);
+    // A round's calls lie over 14 s, most of them over 8: in 100 ms a part in 80 in the mean, of
+    // two calls, and five times the root of it for chance.
+    double mean = 2.0 * routers / 80;
+    for (Micros t = 15 * kSecond; t < 80 * kSecond; t += 100 * kMilli)
+      EXPECT_LE(count(t, t + 100 * kMilli), mean + 5 * std::sqrt(mean) + 4) << routers << ' ' << t;
+  }
+}
+
+// An agent may fall silent at any time and learns nothing then: what it has at its return counts at
+// once, so it is asked all the time.
+TEST(Watching, AnAgentThatIsSilentIsAskedFourTimesASecond) {
+  Watching watching(300, true);
+  std::vector<Micros> made;
+  Micros now = 0;
+  auto call = watching.begin(now, 0.5);
+  watching.answered(10 * kMilli, call.slot, true, 0.5);
+  for (now = 10 * kMilli; now < 20 * kSecond; now += kMilli)
+    if (auto next = watching.advance(now, 0.5)) {
+      EXPECT_EQ(next->wait > 0, made.empty());
+      made.push_back(now);
+    }
+  ASSERT_GT(made.size(), 60u);
+  for (std::size_t k = 2; k < made.size(); ++k) EXPECT_LE(made[k] - made[k - 1], 300 * kMilli);
+  EXPECT_LE(made[1] - made[0], 2300 * kMilli);
+  watching.answered(now, 0, true, 0.5);
+  EXPECT_FALSE(watching.overdue(now));
+}
+
+}  // namespace
+}  // namespace robinseam::membership
