--- a/src/rig/discovery_server.cpp
+++ b/src/rig/discovery_server.cpp
@@ -63,6 +63,15 @@
   if (fault == DiscoveryFault::Down) end_watches();
 }
 
+void DiscoveryServer::mute_watches() {
+  for (Waiting& w : waiting_) {
+    if (!w.watch) continue;
+    w.watch = false;
+    event_del(w.timer.get());
+    if (observer_) observer_->muted(w.port->number, w.until - clock_.now());
+  }
+}
+
 std::string DiscoveryServer::whole(std::size_t port) const { return changes(port, 0); }
 
 /// Since version 0 that is all that is there.
@@ -148,7 +157,7 @@
 
 void DiscoveryServer::wait(Port& port, evhttp_request* request, std::uint64_t index, bool watch,
                            Micros span, bool refuse) {
-  waiting_.push_back({&port, refuse, request, index, watch, nullptr});
+  waiting_.push_back({&port, refuse, request, index, watch, nullptr, clock_.now() + span});
   Waiting& w = waiting_.back();
   w.timer.reset(event_new(base_, -1, 0, on_wait_over, &w));
   timeval limit = timeval_of(span);
--- a/src/rig/discovery_server.hpp
+++ b/src/rig/discovery_server.hpp
@@ -57,12 +57,18 @@
     virtual ~Observer() = default;
     virtual void called(std::size_t port) = 0;
     virtual void told(std::size_t port, std::optional<std::uint64_t> version) = 0;
+    /// A watch has fallen silent whose wait would have been over in `left`.
+    virtual void muted(std::size_t port, Micros left) {
+      static_cast<void>(port), static_cast<void>(left);
+    }
   };
   void set_observer(Observer* observer) { observer_ = observer; }
   std::uint64_t version() const { return version_; }
   /// Adds a cache server or changes it; watches are told at once.
   void put(const std::string& id, const Entry& entry);
   void set_fault(DiscoveryFault fault);
+  /// The watches that are out stay open and say nothing more; calls from now on are answered.
+  void mute_watches();
   std::uint64_t calls() const { return calls_; }
   /// The whole list in discovery's JSON, as the caller at that port is told.
   std::string whole(std::size_t port = 0) const;
@@ -92,6 +98,7 @@
     std::uint64_t index;
     bool watch;  // a change ends it
     EventPtr timer;
+    Micros until = 0;  // its wait is over then
   };
   static void on_call(evhttp_request* request, void* port);
   static void on_wait_over(evutil_socket_t, short, void* waiting);
--- a/src/rig/settings_json.cpp
+++ b/src/rig/settings_json.cpp
@@ -63,7 +63,7 @@
                 {"KeepaliveUs", 15'000'000},
                 {"DialTimeoutUs", 75'000},
                 {"MaxOpen", 4000}}},
-              {"MembershipMode", "subscribe"},
+              {"MembershipMode", s.must_ask ? "subscribe" : "automatic"},
               {"Report", {{"Fields", fields}}},
               {"Rules",
                {{"AnswerSlackUs", s.answer_slack},
--- a/src/tier/account.hpp
+++ b/src/tier/account.hpp
@@ -26,6 +26,7 @@
     Fetched,  ///< value: fetches that the origin has done since the last
     Called,   ///< `router` called discovery
     Told,     ///< and was told the list of version `value`; 0: the call failed
+    Muted,    ///< its watch fell silent: what that misses counts as told at `value`
     Listed,   ///< the list changed: `cache`, value its version, further a state, flag: it is cold
     Started,  ///< a process of `router`, value its number
     Ready,    ///< it answers MN
--- a/src/tier/checker.cpp
+++ b/src/tier/checker.cpp
@@ -254,6 +254,7 @@
   std::map<int, Change> leaving;                     // by cache
   std::map<std::pair<int, int>, Micros> told;        // router, cache
   std::unordered_map<std::uint64_t, int> router_of;  // by try
+  std::map<int, Micros> muted;                       // router: what it misses counts then
   int broken = 0;
   Micros limit = figures_.drain_grace + scenario_.slack;
   std::string first;
@@ -267,6 +268,9 @@
         leaving.try_emplace(e.cache, Change{e.value, e.at});
       }
     }
+    if (e.what == What::Muted) muted.try_emplace(e.router, e.value);
+    // Any answer tells what was missed; a process that starts begins anew.
+    if ((e.what == What::Told && e.value > 0) || e.what == What::Started) muted.erase(e.router);
     if (e.what == What::Told && e.value > 0)
       for (const auto& [cache, change] : leaving)
         if (e.value >= change.version) told.try_emplace({e.router, cache}, e.at);
@@ -277,6 +281,8 @@
     auto change = leaving.find(e.cache);
     auto who = router_of.find(e.id);
     if (change == leaving.end() || who == router_of.end()) continue;
+    if (auto missed = muted.find(who->second); missed != muted.end() && e.at >= missed->second)
+      told.try_emplace({who->second, e.cache}, missed->second);
     auto known = told.find({who->second, e.cache});
     if (known == told.end() || e.at - known->second <= limit) continue;
     if (broken++ == 0)
--- a/src/tier/scenario.cpp
+++ b/src/tier/scenario.cpp
@@ -176,7 +176,7 @@
     }
     case Verb::Discovery:
       t.word("state", a.discovery,
-             {"", "none", "slow", "silent", "down", "spoilt", "half", "reset", "forget"});
+             {"", "none", "slow", "silent", "down", "spoilt", "half", "reset", "forget", "mute"});
       t.span("work", a.work, 0, kLongest);
       t.span("most_wait", a.most_wait, 0, kLongest);
       t.span("lasts", a.lasts, 0, s.lasts);
@@ -275,6 +275,7 @@
     t.table("discovery", [&](TableReader& r) {
       r.span("work", s.discovery_work, 0, kLongest);
       r.span("most_wait", s.discovery_wait, 0, kLongest);
+      r.flag("pushed", s.pushed);
     });
     t.table("load", [&](TableReader& r) {
       r.number("rate", s.rate, 0.1, 20'000);
--- a/src/tier/scenario.hpp
+++ b/src/tier/scenario.hpp
@@ -111,6 +111,7 @@
   bool warm = true;  ///< they hold what is asked for at the begin
   int origin_places = 16;
   Micros origin_work = 5 * kMillisecond;
+  bool pushed = false;  ///< discovery stands for an agent on each router's own machine
   Micros discovery_work = 0, discovery_wait = 0;  ///< of a call; and the longest it waits for it
   double rate = 100, writes = 0.1;
   int keys = 1'000, tries = 1;
--- a/src/tier/stage.cpp
+++ b/src/tier/stage.cpp
@@ -78,7 +78,7 @@
   if (s_.tries == 1) t.try_share = 1;
   day_.routers = s_.routers;
   robinseam::Settings& settings = day_.settings;
-  settings.must_ask = true;
+  settings.must_ask = !s_.pushed;
   settings.ask_within = s_.ask_within;
   settings.cold_time = s_.cold_time;
   settings.classes[1].key_ttl = s_.key_ttl, settings.classes[1].group = s_.group;
@@ -212,6 +212,8 @@
     discovery_.forget();
     for (std::size_t k = 0; k < caches_.size(); ++k)
       list(static_cast<int>(k), caches_[k].health, false);
+  } else if (a.discovery == "mute") {
+    discovery_.mute_watches();
   } else if (auto fault = discovery_faults().find(a.discovery); fault != discovery_faults().end()) {
     discovery_.set_fault(fault->second);
   }
@@ -664,4 +666,13 @@
                  .value = version && !held ? static_cast<std::int64_t>(*version) : 0});
 }
 
+/// PROTOCOL: 6 s after it fell silent, or 2 s after its wait, whichever is later.
+void Stage::muted(std::size_t port, Micros left) {
+  if (port == 0) return;
+  Micros counts = account_.now() + std::max(6 * kSecond, left + 2 * kSecond);
+  account_.note({.what = What::Muted,
+                 .router = static_cast<std::int16_t>(port - 1),
+                 .value = static_cast<std::int64_t>(counts)});
+}
+
 }  // namespace arrowfork::tier
--- a/src/tier/stage.hpp
+++ b/src/tier/stage.hpp
@@ -101,6 +101,7 @@
   void begun(rig::ModelCache& server, const Command& command) override;
   void called(std::size_t port) override;
   void told(std::size_t port, std::optional<std::uint64_t> version) override;
+  void muted(std::size_t port, Micros left) override;
 
   const Scenario& s_;
   const TierOptions& o_;
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -1,6 +1,8 @@
 // Discovery's bad answers: what is held stays, each is counted, and a good one is taken after it.
 #include "net/discovery.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include "../loopback.hpp"
 
 namespace arrowfork::test {
@@ -84,6 +86,24 @@
   }
 }
 
+// As large as any tier (issue 43), indented, with long names, changed whole each time.
+TEST(DiscoveryAnswers, IndentedListsOf1024And1025ServersWithLongNamesAreTaken) {
+  for (std::size_t servers : {1024u, 1025u}) {
+    Asked asked({});
+    for (int version = 1; version <= 3; ++version) {
+      nlohmann::json list = {{"seq", version}, {"whole", true}};
+      for (std::size_t k = 0; k < servers; ++k)
+        list["hosts"].push_back(nlohmann::json::parse(
+            host_json(std::string(200, 's') + std::to_string(k) + "-" + std::to_string(version),
+                      "127.0.0.1:" + std::to_string(1 + k))));
+      asked.ask(whole(list.dump(4)));
+      ASSERT_EQ(asked.taken.size(), static_cast<std::size_t>(version));
+      EXPECT_EQ(asked.taken.back().hosts.size(), servers);
+    }
+    EXPECT_EQ(asked.discovery.counts().bad, 0u);
+  }
+}
+
 // What a silent call should have told counts as told 6 s after it fell silent.
 TEST(DiscoveryAnswers, ASilentCallIsMadeAnewBesideItBeforeItIsGivenUp) {
   const std::string good = list_json(5, true, {host_json("s-1", "127.0.0.1:1")});
