--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -94,9 +94,9 @@
       nlohmann::json list = {{"seq", version}, {"whole", true}};
       for (std::size_t k = 0; k < servers; ++k)
         list["hosts"].push_back(nlohmann::json::parse(
-            host_json(std::string(200, 's') + std::to_string(k) + "-" + std::to_string(version),
+            host_json(std::string(240, 's') + std::to_string(k) + "-" + std::to_string(version),
                       "127.0.0.1:" + std::to_string(1 + k))));
-      asked.ask(whole(list.dump(4)));
+      asked.ask(whole(list.dump(8)));
       ASSERT_EQ(asked.taken.size(), static_cast<std::size_t>(version));
       EXPECT_EQ(asked.taken.back().hosts.size(), servers);
     }
