--- a/src/control/handover.cpp
+++ b/src/control/handover.cpp
@@ -18,8 +18,10 @@
 constexpr char kHello[] = "H1";
 constexpr char kListener = 'L', kTake = 'T', kClient = 'C', kHeld = 'U';
 constexpr int kAnswerMs = 1000;
-// A list beyond this is not handed over; the successor asks discovery.
-constexpr std::size_t kMostMessage = 128u << 10;
+// What Linux lets a socket without privileges hold by default (net.core.wmem_max, counted twice),
+// less what it takes for itself. A list beyond this, or beyond what
+// this system allows, is not handed over; the successor asks discovery.
+constexpr std::size_t kMostMessage = 384u << 10;
 
 Fd unix_socket(const std::string& path, sockaddr_un& address) {
   address = {};
@@ -137,9 +139,11 @@
   auto* h = static_cast<Handover*>(self);
   Fd fd(::accept4(h->waiting_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (!fd || h->successor_) return;  // one at a time: a third process listens for itself
+  int size = kMostMessage;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
   h->successor_ = std::move(fd);
-  h->successor_event_.reset(event_new(h->base_, h->successor_.get(), EV_READ | EV_PERSIST,
-                                      on_successor_event, self));
+  h->successor_event_.reset(
+      event_new(h->base_, h->successor_.get(), EV_READ | EV_PERSIST, on_successor_event, self));
   event_add(h->successor_event_.get(), nullptr);
 }
 
@@ -153,7 +157,10 @@
     std::string list = h->handler_.list();
     int listener = h->handler_.listener();
     if (1 + list.size() > kMostMessage) list.clear();
-    if (listener >= 0 && send_message(h->successor_.get(), kListener + list, listener)) return;
+    if (listener >= 0 && (send_message(h->successor_.get(), kListener + list, listener) ||
+                          (errno == EMSGSIZE &&
+                           send_message(h->successor_.get(), std::string(1, kListener), listener))))
+      return;
   } else if (got == Received::Message && text[0] == kTake) {
     if (!std::exchange(h->taken_, true)) h->handler_.on_successor();
     return;
--- a/tests/operations/handover_test.cpp
+++ b/tests/operations/handover_test.cpp
@@ -56,6 +56,18 @@
   served(fresh, "e");
 }
 
+TEST_F(HandoverTest, AListOf1024ServersGoesOver) {
+  ConfigText c = config();
+  for (int k = 0; k < 1024; ++k)
+    c.hosts.push_back(
+        host_json(std::string(40, 'c') + std::to_string(k), "127.0.0.1:1", "leaving"));
+  RunningRouter old_one(c);
+  c.hosts.clear();
+  RunningRouter new_one(c);
+  ASSERT_TRUE(ready(new_one));
+  EXPECT_NE(new_one.control("GET", "/-/metrics").find("\"hosts_listed\":1026"), std::string::npos);
+}
+
 TEST_F(HandoverTest, ARequestUnderWayIsAnsweredByTheOldProcessAndItsConnectionGoesOver) {
   Peer slow;
   ConfigText c = config();
