Discovery: a list that was under way can't undo the old address's last word

The older list could come first and put a draining server back. Now what is out is dropped and asked anew (Watching::drop; what it owes stays owed). The reload test sends the stale list and fails without.

--- a/src/membership/watching.cpp
+++ b/src/membership/watching.cpp
@@ -112,9 +112,9 @@
     if (one.out && one.begun < begun) one.out = false;
 }
 
-bool Watching::answered(Micros now, int slot, bool news, double chance) {
+void Watching::answered(Micros now, int slot, bool news, double chance) {
   One& one = calls_[static_cast<std::size_t>(slot)];
-  if (!one.out) return false;
+  if (!one.out) return;
   One was = one;
   one.out = false;
   if (was.wait == 0) stretch(now - was.begun > kSlowAnswer ? kStretchSlow : kUnstretch);
@@ -122,12 +122,11 @@
   failures_ = 0;
   due_ = kNever;
   for (const One& other : calls_)
-    if (other.out) return true;  // a later one: it goes on
+    if (other.out) return;  // a later one: it goes on
   // A watch with gaps is a new one.
   bool early = was.wait > 0 && !news && now - was.begun < was.wait / 2;
   next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
   next_watches_ = true;
-  return true;
 }
 
 Micros Watching::pause(Micros now, double chance) {
@@ -169,6 +168,14 @@
   return false;
 }
 
+void Watching::drop() {
+  for (One& one : calls_) {
+    if (one.out) owe(due_of(one.begun, one.wait));
+    one.out = false;
+  }
+  next_ = kNever;
+}
+
 void Watching::stop() {
   calls_ = {};
   next_ = due_ = kNever;
--- a/src/membership/watching.hpp
+++ b/src/membership/watching.hpp
@@ -44,9 +44,12 @@
   /// Another discovery: what was out at the one before is not owed any more, and what the new one
   /// has to tell counts as told within `within`.
   void move(Micros now, Micros within);
-  /// A list that counts has come, with changes or without: true where the call in that slot was one
-  /// that is out. Whatever is out from before it may be dropped: `dropped` names the slots.
-  bool answered(Micros now, int slot, bool news, double chance);
+  /// What is out may bring an older list than is held by now: nothing of it is waited for. What it
+  /// owes is owed still.
+  void drop();
+  /// A list that counts has come, with changes or without. Calls that began before the one in that
+  /// slot are out no more.
+  void answered(Micros now, int slot, bool news, double chance);
   /// True where nobody else is out and nothing is owed, so that the next call is the caller's to
   /// choose; else the machine makes it itself.
   bool failed(Micros now, int slot, Fault fault, double chance);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -171,6 +171,7 @@
                                            // since is older than what is held.
                                            if (list && list->whole && fetch_overlapped_) return;
                                            if (!list || !list->whole || !may_count(guard_, list)) {
+                                             handler_.on_call_failed();
                                              handler_.on_hosts_failed();
                                              return;
                                            }
@@ -205,7 +206,10 @@
 /// told here: it is asked anew.
 void Discovery::take_old(std::optional<HostList> list) {
   if (!may_count(old_guard_, list) || (!list->whole && list->hosts.empty())) return;
-  if (guard_.version().empty()) watch();
+  if (guard_.version().empty()) {
+    watching_.drop();
+    watch();
+  }
   handler_.on_hosts(std::move(*list));
 }
 
@@ -272,6 +276,7 @@
         watching_.failed(clock_.now(), static_cast<int>(slot),
                          list ? DiscoveryCall::Fault::Spoilt : calls_[slot]->fault(), chance());
     follow();
+    handler_.on_call_failed();
     if (alone) handler_.on_hosts_failed();
     return;
   }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -77,6 +77,9 @@
    public:
     virtual ~Handler() = default;
     virtual void on_hosts(HostList&& list) = 0;
+    /// Any call; the next one may be under way already.
+    virtual void on_call_failed() = 0;
+    /// None is out or due: the next one is the handler's to choose.
     virtual void on_hosts_failed() = 0;
   };
   /// `seed`: of the jitter in its pauses. `known`: the list that is held. `routers`: of the tier.
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <string_view>
+#include <unordered_map>
 
 #include "recovery/asking.hpp"
 
@@ -267,25 +269,22 @@
 
 /// One line of the servers that a list newly announces as leaving or gone, with when it came.
 void Router::note_leaving(const HostList& told) const {
+  using robinseam::Health;
   constexpr std::size_t kNamed = 16;
   std::size_t count = 0;
   std::string names;
-  for (const Host& h : told.hosts) {
-    auto at = hand_.listed().find(h.server.id);
-    bool leaves = h.server.health != robinseam::Health::Ready && at != hand_.listed().end() &&
-                  at->second.server.health == robinseam::Health::Ready;
-    if (leaves && ++count <= kNamed) names += ' ' + h.server.id;
+  std::unordered_map<std::string_view, Health> now;
+  for (const Host& h : told.hosts) now[h.server.id] = h.server.health;
+  for (const auto& [id, held] : hand_.listed()) {
+    auto at = now.find(id);
+    bool leaves = at != now.end() ? at->second != Health::Ready : told.whole;
+    if (leaves && held.server.health == Health::Ready && ++count <= kNamed) names += ' ' + id;
   }
   if (count == 0) return;
   std::fprintf(stderr, "arrowfork: list %s: %zu leaving:%s%s\n", told.version.c_str(), count,
                names.c_str(), count > kNamed ? " ..." : "");
 }
 
-void Router::on_hosts_failed() {
-  core_.list(ListScope::Failed, {});
-  recovery_.failed(clock_.now());
-}
-
 // ---- coming back ----
 
 bool Router::any_ready() const {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -70,7 +70,8 @@
   }
   // Discovery::Handler
   void on_hosts(HostList&& list) override;
-  void on_hosts_failed() override;
+  void on_call_failed() override { recovery_.failed(clock_.now()); }
+  void on_hosts_failed() override { core_.list(robinseam::ListScope::Failed, {}); }
   // Lister
   void watch() override { discovery_.watch(); }
   void fetch() override { discovery_.fetch(); }
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -19,6 +19,7 @@
   explicit Asked(const HostList& known)
       : discovery(base.get(), clock, peer.address(), known, 1, false, 1, *this) {}
   void on_hosts(HostList&& list) override { taken.push_back(std::move(list)); }
+  void on_call_failed() override { ++calls_failed; }
   void on_hosts_failed() override { ++failed; }
   /// The path that was asked for.
   std::string ask(const std::string& response) {
@@ -43,7 +44,7 @@
   EventBasePtr base{event_base_new()};
   Discovery discovery;
   std::vector<HostList> taken;
-  int failed = 0;
+  int failed = 0, calls_failed = 0;
 };
 
 TEST(DiscoveryAnswers, ABadOneChangesNothingIsCountedAndAGoodOneFollows) {
@@ -74,6 +75,7 @@
     EXPECT_EQ(asked.ask(c.response), "/discovery/hosts?index=4&wait=1") << c.what;
     // What may have told something is asked for again at once, and not at the module's time.
     EXPECT_EQ(asked.failed, c.bad ? 0 : 1) << c.what;
+    EXPECT_EQ(asked.calls_failed, 1) << c.what;
     EXPECT_TRUE(asked.taken.empty()) << c.what;
     EXPECT_EQ(asked.discovery.counts().failed, 1u) << c.what;
     EXPECT_EQ(asked.discovery.counts().bad, c.bad ? 1u : 0u) << c.what;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -531,6 +531,12 @@
       {host_json("s-1", before.address(), "leaving"), host_json("s-2", after.address())})));
   Link again = new_one.accept();
   EXPECT_EQ(again.line(), "GET /discovery/hosts HTTP/1.1\r\n");
+  // The list that was under way knows nothing of the drain, and must not undo it.
+  std::string stale = http(list_json(1, true, {host_json("s-1", before.address())}));
+  ::send(call.fd(), stale.data(), stale.size(), MSG_NOSIGNAL);
+  char rest[1024];
+  while (::recv(call.fd(), rest, sizeof rest, 0) > 0) {
+  }
   Link other = router.client();
   other.write(get("R2"));
   Link at_new = after.accept();
