--- a/src/control/handover.cpp
+++ b/src/control/handover.cpp
@@ -19,8 +19,8 @@
 constexpr char kListener = 'L', kTake = 'T', kClient = 'C', kHeld = 'U';
 constexpr int kAnswerMs = 1000;
 // What Linux lets a socket without privileges hold by default (net.core.wmem_max, counted twice),
-// less what it takes for itself. A list beyond this, or beyond what
-// this system allows, is not handed over; the successor asks discovery.
+// less what it takes for itself. A list beyond this, or beyond what this system allows, is not
+// handed over; the successor asks discovery.
 constexpr std::size_t kMostMessage = 384u << 10;
 
 Fd unix_socket(const std::string& path, sockaddr_un& address) {
--- a/src/tier/checker.cpp
+++ b/src/tier/checker.cpp
@@ -282,7 +282,7 @@
     auto who = router_of.find(e.id);
     if (change == leaving.end() || who == router_of.end()) continue;
     if (auto missed = muted.find(who->second); missed != muted.end() && e.at >= missed->second)
-      told.try_emplace({who->second, e.cache}, missed->second);
+      told.try_emplace({who->second, e.cache}, std::max(missed->second, change->second.at));
     auto known = told.find({who->second, e.cache});
     if (known == told.end() || e.at - known->second <= limit) continue;
     if (broken++ == 0)
