--- a/tests/binary/rules_config_test.cpp
+++ b/tests/binary/rules_config_test.cpp
@@ -37,6 +37,13 @@
   EXPECT_TRUE(rules.servers.empty());
 }
 
+TEST(BinaryConfig, AsManyServersMayBeNamedAsAnyListHolds) {
+  std::string servers;
+  for (int k = 0; k < 1025; ++k)
+    servers += (k ? "," : "") + std::string("{\"id\":\"s-") + std::to_string(k) + "\"}";
+  EXPECT_EQ(rules_of("{\"servers\":[" + servers + "]}").servers.size(), 1025u);
+}
+
 TEST(BinaryConfig, AllOfItIsTakenOver) {
   BinaryRules rules = rules_of(R"({"read_class":"read","write_class":"pay","read_deadline_ms":250,
     "write_deadline_ms":1500.5,"idempotency":"cas","server_idempotency":"cas",
