Servers: a second connection no more closes idle ones of others where servers outnumber them

ServerSide::make_room kept room for one connection to each server that has none and closed what stood idle until that fitted; with more such servers than connections it never does, so each second connection to a busy server closed every idle one and was refused all the same. Idle ones are that room, since they make way; what counts against it is what is used, and the others keep half at the most. A test with 32 servers and 8 connections: before one connection to the busy server and the idle one closed, now four and it stays.

--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -576,9 +576,10 @@
 }
 
 /// The budget of connections is shared by all servers. Each wanted one that has no connection keeps
-/// room for one, so that a few slow servers can't take everything. What stands idle makes way, then
-/// what only waits for answers that nobody wants any more: when a server or the origin jams, those
-/// come by the hundred, and each would hold its connection for kAbandonTime.
+/// room for one, so that a few slow servers can't take everything; where there are more of them
+/// than connections, they keep half of those. What stands idle is such room, since it makes way for
+/// them, then what only waits for answers that nobody wants any more: when a server or the origin
+/// jams, those come by the hundred, and each would hold its connection for kAbandonTime.
 bool ServerSide::make_room(ServerPool& pool) {
   if (pool.connections.size() >= limits_.per_server) {
     ServerConnection* spare = nullptr;
@@ -587,10 +588,17 @@
     ++counts_.made_room;
     close(*spare);
   }
-  std::size_t kept = 0;
-  if (!pool.connections.empty())
-    for (auto& [id, other] : pools_) kept += other->wanted && other->connections.empty();
-  while (total_ + kept >= limits_.connections) {
+  if (!pool.connections.empty()) {
+    std::size_t kept = 0, used = 0;
+    for (auto& [id, other] : pools_) {
+      kept += other->wanted && other->connections.empty();
+      used += static_cast<std::size_t>(
+          std::count_if(other->connections.begin(), other->connections.end(),
+                        [](const auto& c) { return c->connecting_ || !c->forsaken(); }));
+    }
+    if (used + std::min(kept, limits_.connections / 2) >= limits_.connections) return false;
+  }
+  while (total_ >= limits_.connections) {
     ServerConnection* spare = nullptr;
     for (auto& [id, other] : pools_) spare_of(*other, spare);
     if (!spare || !may_close(*spare)) return false;
--- a/tests/net/dials_test.cpp
+++ b/tests/net/dials_test.cpp
@@ -79,6 +79,33 @@
   EXPECT_EQ(dials.side.counts().recalled, 1u);
 }
 
+// Many servers and few descriptors: a second connection to one of them costs the others nothing
+// that they use, and they keep room all the same.
+TEST(Dials, ASecondConnectionLeavesWhatStandsIdleAtOthersAndTheirRoom) {
+  Peer busy, idle;
+  ServerSide::Limits limits;
+  limits.connections = 8;
+  Dials dials(busy, limits);
+  std::vector<std::string> hosts = {host_json("s-1", busy.address()),
+                                    host_json("idle", idle.address())};
+  for (int k = 0; k < 30; ++k)
+    hosts.push_back(host_json("o-" + std::to_string(k), "127.0.0.1:" + std::to_string(k + 1)));
+  dials.side.take_list(parse_host_list(list_json(2, true, hosts)));
+  Request r;
+  r.key = "key", r.id = "d50", r.type = "read", r.tenant = "acme";
+  dials.side.send("idle", 50, 0, r, kSecond);
+  while (dials.side.counts().written < 1) dials.run();
+  Link kept = idle.accept();
+  kept.line();
+  kept.write(value_for(50));
+  EXPECT_EQ(dials.end_of(50), Status::Ok);
+  // Half of the eight are the others': four at s-1, and further attempts wait behind those.
+  for (int k = 0; k < 7; ++k) dials.send();
+  EXPECT_EQ(dials.side.counts().dials, 1u + 4u);
+  EXPECT_EQ(dials.side.counts().made_room, 0u);
+  EXPECT_EQ(dials.side.idle_connections(), 1u);
+}
+
 TEST(Dials, WhatAFirstAnswerTellsOfRoom) {
   struct Case {
     const char* what;
