--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,6 +8,13 @@
 
 // A request that the module has left open this long after its time gets its answer all the same.
 constexpr Micros kLastAnswer = 15 * kMillisecond;
+// A client that ends its sending may have gone: nothing may begin for it 0.1 s later. What is out
+// has half of that to get to its server, for one that only said that this was all.
+constexpr Micros kLeftGrace = 50 * kMillisecond;
+// An attempt that could not be ended when its patience was over is looked at again this often.
+constexpr Micros kEndAgain = 20 * kMillisecond;
+// What is over, where it is not an attempt.
+constexpr int kClient = -1, kLastGuard = -2, kLeftGuard = -3;
 
 Micros longest_of(const std::vector<robinseam::ClassSettings>& classes) {
   Micros longest = 0;
@@ -32,6 +39,7 @@
       lister_(lister),
       classes_(settings.classes),
       aside_(settings.aside),
+      second_copies_(settings.second_copies),
       longest_deadline_(longest_of(settings.classes)),
       balancer_(settings, seed, clock.now(), rules),
       id_seed_(mixed(seed)),
@@ -121,8 +129,38 @@
 void Core::left(RequestId id) {
   auto it = open_.find(id);
   if (it == open_.end() || it->second.left) return;
-  it->second.left = true;
+  Open& open = it->second;
+  open.left = true;
   events_.push_back(GoneEvent{id});
+  set_timer(clock_.now() + kLeftGrace, Due::Expiry, id, kLeftGuard);
+  answer_left(open);
+}
+
+/// Begun from here on it would be work for nobody: what waits for a dial, behind others or for a
+/// full socket goes no further.
+void Core::take_back(RequestId id, Open& open) {
+  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
+    Attempt& a = open.attempts[k];
+    if (!a.carried || !open.carrier->take_back(a.server, id, static_cast<int>(k))) continue;
+    a.carried = a.may_have_run = false;
+    if (a.out) tell_outcome(id, open, static_cast<int>(k), Status::Moot, nullptr);
+  }
+}
+
+/// Who may still read gets an answer once nothing is out any more: that trying again is harmless
+/// where nothing has run, of this try or, for a write that bears a key, of one before.
+void Core::answer_left(Open& open) {
+  if (open.answered || std::any_of(open.attempts.begin(), open.attempts.end(),
+                                   [](const Attempt& one) { return one.carried; }))
+    return;
+  Reply reply;
+  if (open.request.idempotency.empty() &&
+      std::none_of(open.attempts.begin(), open.attempts.end(),
+                   [](const Attempt& one) { return one.may_have_run; })) {
+    ++counts_.refused;
+    reply.kind = Reply::Kind::Refused;
+  }
+  give_reply(open, std::move(reply));
 }
 
 void Core::gone(RequestId id) {
@@ -133,6 +171,7 @@
   unanswered_ -= !open.answered;
   open.sink = nullptr;
   open.answered = true;
+  take_back(id, open);
   events_.push_back(GoneEvent{id});  // also where it has left before: settle() forgets it then
 }
 
@@ -182,28 +221,41 @@
     give_reply(open, std::move(reply));
   }
   if (a.out) tell_outcome(id, open, attempt, status, &result, held);
-  if (open.left && !open.answered &&
-      std::none_of(open.attempts.begin(), open.attempts.end(),
-                   [](const Attempt& one) { return one.carried; }))
-    give_reply(open, Reply());
+  if (open.left) answer_left(open);
   forget_if_done(id);
 }
 
-/// The attempt's patience, or with attempt -1 the client's, is over. An attempt of -2 is the last
-/// guard: whatever happened, the client gets its answer.
+/// The attempt's patience, or with kClient the client's, is over. The last guard: whatever
+/// happened, the client gets its answer.
 void Core::expire(RequestId id, int attempt) {
   auto it = open_.find(id);
   if (it == open_.end()) return;
   Open& open = it->second;
-  if (attempt == -2) {
+  if (attempt == kLastGuard) {
     if (!open.answered) give_reply(open, Reply());
     forget_if_done(id);
     return;
   }
+  if (attempt == kLeftGuard) {
+    take_back(id, open);
+    answer_left(open);
+    forget_if_done(id);
+    return;
+  }
   for (std::size_t k = 0; k < open.attempts.size(); ++k) {
     Attempt& a = open.attempts[k];
     if (!a.out || (attempt >= 0 && static_cast<int>(k) != attempt)) continue;
-    Status status = open.carrier->cancel(a.server, id, static_cast<int>(k));
+    Status status;
+    if (attempt >= 0 && !second_copies_) {
+      std::optional<Status> ended = open.carrier->end(a.server, id, attempt);
+      if (!ended) {  // out until then, so that no other may follow
+        set_timer(clock_.now() + kEndAgain, Due::Expiry, id, attempt);
+        continue;
+      }
+      status = *ended;
+    } else {
+      status = open.carrier->cancel(a.server, id, static_cast<int>(k));
+    }
     a.carried = false;
     bool unreached = status == Status::Moot && !open.carrier->remote();
     tell_outcome(id, open, static_cast<int>(k),
@@ -212,7 +264,8 @@
                                           : Status::Timeout,
                  nullptr);
   }
-  if (attempt == -1 && !open.answered) set_timer(clock_.now() + kLastAnswer, Due::Expiry, id, -2);
+  if (attempt == kClient && !open.answered)
+    set_timer(clock_.now() + kLastAnswer, Due::Expiry, id, kLastGuard);
   forget_if_done(id);
 }
 
@@ -221,6 +274,9 @@
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
   a.out = false;
   open.missed = status == Status::Miss;
+  if (status == Status::Full || status == Status::ConnectFailed || status == Status::Moot ||
+      status == Status::Miss || status == Status::NoRoom)
+    a.may_have_run = false;
   ++counts_.outcomes[static_cast<std::size_t>(status)];
   if (at_servers_.size() < kMostCounted || at_servers_.count(a.server))
     ++at_servers_[a.server][static_cast<std::size_t>(status)];
@@ -302,7 +358,7 @@
       r.write = open.request.write;
       r.unkeyed = open.request.write && !open.request.keyed;
       if (open.request.keyed) r.idempotency = open.request.idempotency;
-      set_timer(open.deadline, Due::Expiry, e->id, -1);
+      set_timer(open.deadline, Due::Expiry, e->id, kClient);
       perform("request", e->id, now, balancer_.on_request(now, r));
     } else if (auto* e = std::get_if<GoneEvent>(&event)) {
       perform("gone", e->id, now, balancer_.on_gone(now, e->id));
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <optional>
 #include <queue>
 #include <unordered_map>
 #include <unordered_set>
@@ -35,6 +36,14 @@
                     Micros wait) = 0;
   /// Gives an attempt up: Moot where the server has nothing of it, Cancelled where it may have run.
   virtual Status cancel(const std::string& server, RequestId id, int attempt) = 0;
+  /// The same where another attempt is to follow and no two may be out at once: it must not go on
+  /// at its server. Nothing where it can't be ended without harm to others, and goes on.
+  virtual std::optional<Status> end(const std::string& server, RequestId id, int attempt) {
+    return cancel(server, id, attempt);
+  }
+  /// Takes an attempt back whose server has not got it whole, so that it never begins; false where
+  /// that can't be done any more, or not without harm to others. What is out then goes on.
+  virtual bool take_back(const std::string&, RequestId, int) { return false; }
   /// Whether every server that an attempt may reach is told the write's idempotency key.
   virtual bool keeps_key(const Request& request) const = 0;
   /// Attempts are carried out by somebody else who is only told of them. Then no patience is held
@@ -88,10 +97,10 @@
   /// Takes a request; `id` names it from here on. `sink` and `carrier` are called until it has
   /// ended; `sink` not after gone(). The module hears of it in the next turn().
   Taken take(Request&& request, ReplySink& sink, Carrier& carrier, RequestId& id);
-  /// The client sends no more but may still read: nothing new is sent for it, what is out is waited
-  /// for.
+  /// The client sends no more but may still read: nothing new is sent for it, what its servers have
+  /// not got whole a moment later is taken back, what may run is waited for.
   void left(RequestId id);
-  /// Nobody is left to get the reply.
+  /// Nobody is left to get the reply. What its servers have not got whole is taken back.
   void gone(RequestId id);
   /// `held`: nobody waits for a further attempt until again() is called; without, the module
   /// decides on one at once.
@@ -140,8 +149,9 @@
   struct Attempt {
     std::string server;
     Micros sent = 0;
-    bool out = true;      // its outcome has not been told to the module
-    bool carried = true;  // its carrier still owes it an end
+    bool out = true;           // its outcome has not been told to the module
+    bool carried = true;       // its carrier still owes it an end
+    bool may_have_run = true;  // until it is known that it has not
   };
   struct Open {
     ReplySink* sink = nullptr;  // none once the client is gone or has its reply
@@ -205,6 +215,8 @@
   void note_id(const std::string& id);
   Counts::Ends* ends_of(const std::string& type);
   void give_reply(Open& open, Reply&& reply);
+  void take_back(RequestId id, Open& open);
+  void answer_left(Open& open);
   void tell_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result,
                     bool held = false);
   void forget_if_done(RequestId id);
@@ -212,7 +224,7 @@
   const TimeSource& clock_;
   Lister& lister_;
   std::vector<robinseam::ClassSettings> classes_;
-  bool aside_;
+  bool aside_, second_copies_;
   Micros longest_deadline_;
   robinseam::Balancer balancer_;
   std::unordered_map<RequestId, Open> open_;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -1,6 +1,9 @@
 #include "client_side.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -38,7 +41,13 @@
 // After our FIN the connection is read until the client's, at most this long and this many bytes:
 // closing with unread bytes would send a reset, which may destroy the last answer on its way.
 constexpr Micros kLingerTime = kSecond / 2;
-constexpr std::size_t kLingerBytes = 1u << 20;
+// As long as the client has not got all that was written, the reset would take an answer with it:
+// then up to kStallTime and this many bytes.
+constexpr std::size_t kLingerBytes = 1u << 20, kLingerMostBytes = 16u << 20;
+// A client that has gone may have left bytes that wait unread, so that its end is not read either:
+// such connections are asked for it this often, which leaves most of the 0.1 s within which nothing
+// more may begin for it.
+constexpr Micros kLookForEnd = 40 * kMillisecond;
 // Also how long new connections wait at most once one of those in the table may make way.
 constexpr Micros kSweep = kSecond / 10;
 // Clients are sent away: so long after the call the front has asked `mn` again and sends no more
@@ -78,6 +87,33 @@
   /// Quiet commands that were taken owe the client the answer to the one that ends them.
   bool between_requests() const { return !in_command() && !(codec_ && codec_->barrier_due()); }
 
+  /// What has come by now is read before the connection is ended: a request may lie there. False
+  /// where something is owed after it.
+  bool nothing_came() {
+    if (reading_ && !eof_ && !lingering_) read();
+    return !closed_ && idle();
+  }
+
+  /// The client's machine has not got all that was written.
+  bool unacknowledged() const {
+    int bytes = 0;
+    return ::ioctl(fd_.get(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  }
+
+  /// Whether the client has ended its connection behind bytes that are not read yet.
+  void look_for_end() {
+    if (reading_ || closed_ || eof_ || leaving_ || lingering_) return;
+    pollfd p{fd_.get(), POLLRDHUP, 0};
+    if (::poll(&p, 1, 0) <= 0) return;
+    if (p.revents & (POLLERR | POLLHUP)) {
+      side_.close(*this);
+      return;
+    }
+    if (!(p.revents & POLLRDHUP)) return;
+    leaving_ = true;
+    leave();
+  }
+
   void read() {
     ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kScratch, 0);
     if (got < 0) {
@@ -85,9 +121,11 @@
       side_.close(*this);  // reset: the client is gone for certain
       return;
     }
-    if (lingering_) {
+    if (lingering_) {  // what crosses our end is nobody's to send on
       lingered_ += static_cast<std::size_t>(got);
-      if (got == 0 || lingered_ > kLingerBytes) side_.close(*this);
+      if (got == 0 || (lingered_ > kLingerBytes && !unacknowledged()) ||
+          lingered_ > kLingerMostBytes)
+        side_.close(*this);
       return;
     }
     if (got == 0) {
@@ -145,8 +183,9 @@
                  (request.value && slot.bulk == 0 ? request.value->size() : 0);
     if (request.line_before_wait.empty()) slot.bytes += binary::kHeader + request.key.size();
     hold_more(slot.bytes);
-    if (over_limit_) side_.core_.note_refused(request.type);
-    Core::Taken taken = over_limit_
+    bool refused = over_limit_ || eof_ || leaving_;  // nothing new for a client that has gone
+    if (refused) side_.core_.note_refused(request.type);
+    Core::Taken taken = refused
                             ? Core::Taken::Busy
                             : side_.core_.take(std::move(request), slot, side_.carrier_, slot.id);
     if (taken != Core::Taken::Yes) side_.answer(slot, codec_->not_taken(slot.tag, taken));
@@ -190,16 +229,19 @@
     side_.bulk_bytes_ += need;
   }
 
-  /// A half-close looks like a close. What was taken is still answered: a client that is really
-  /// gone only makes the write fail.
+  /// A half-close looks like a close, so that nothing new is begun for the client. What may run
+  /// already is waited for and answered, the rest refused: a client that is really gone only makes
+  /// the write fail.
   void end_of_input() {
     eof_ = true;
-    held_.clear();
     event_del(read_.get());
-    if (slots_.empty() && out_.empty()) {
-      side_.close(*this);
-      return;
-    }
+    leave();
+    if (!waits_for_room_) parse_held();
+    if (waits_for_room_) held_.clear();
+    if (slots_.empty() && out_.empty() && held_.empty()) side_.close(*this);
+  }
+
+  void leave() {
     for (ClientSlot& slot : slots_)
       if (slot.id && !slot.done) side_.core_.left(slot.id);
   }
@@ -266,6 +308,7 @@
       side_.close(*this);
       return;
     }
+    if (eof_ && !held_.empty()) parse_held();
     if (out_.empty() && slots_.empty()) {
       if (eof_ || broken_ || over_limit_) {
         finish();
@@ -287,7 +330,7 @@
     ClientSide::Given given =
         side_.draining_ && side_.give_ ? side_.give_(fd_.get()) : ClientSide::Given::No;
     if (given == ClientSide::Given::Yes) side_.close(*this);
-    if (given == ClientSide::Given::No) finish();
+    if (given == ClientSide::Given::No && nothing_came()) finish();
   }
 
   /// Closes after the last answer.
@@ -307,9 +350,13 @@
     if (closed_ || eof_ || lingering_) return;
     reserve_bulk();
     bool want = held_.empty() && !broken_ && may_take();
+    // Once we end, what has been begun is answered and no more taken: what comes behind it crosses
+    // our end, or is the next process's.
+    if (side_.draining_ && !slots_.empty() && between_requests()) want = false;
     if (want == reading_) return;
     reading_ = want;
     want ? event_add(read_.get(), nullptr) : event_del(read_.get());
+    if (!want) side_.look_for_ends();
   }
 
   void sweep(Micros now) {
@@ -318,7 +365,7 @@
     if (closed_) return;
     if (side_.closing() && at_rest() && between_requests() && !lingering_ && !side_.draining_ &&
         (now - since_ > kAwayIdle || now - side_.away_since_ > kAwayAll)) {
-      finish();
+      if (nothing_came()) finish();
       return;
     }
     bool in_value = codec_ && codec_->in_value() > 0;
@@ -327,10 +374,33 @@
                   : !slots_.empty()     ? Micros{0}
                   : in_value            ? kValueTime
                                         : kCommandTime;
-    if ((most > 0 && out_.empty() && now - since_ > most) ||
-        (in_value && slots_.empty() && now - heard_at_ > kValueSilence) ||
-        (stalled_since_ && now - stalled_since_ > kStallTime))
+    if (stalled_since_ && now - stalled_since_ > kStallTime) {
       side_.close(*this);
+      return;
+    }
+    bool over = (most > 0 && out_.empty() && now - since_ > most) ||
+                (in_value && slots_.empty() && now - heard_at_ > kValueSilence);
+    if (!over) return;
+    if (lingering_) {
+      if (now - since_ > kStallTime || !unacknowledged()) side_.close(*this);
+    } else if (!at_rest()) {
+      finish();  // half a command
+    } else if (nothing_came()) {
+      finish();
+    }
+  }
+
+  /// The process ends: what is written goes out behind this, since nothing is left unread that
+  /// would turn the close into a reset.
+  void end() {
+    flush();
+    if (closed_) return;
+    ::shutdown(fd_.get(), SHUT_WR);
+    for (std::size_t dropped = 0; dropped < kLingerBytes;) {
+      ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kScratch, 0);
+      if (got <= 0) break;
+      dropped += static_cast<std::size_t>(got);
+    }
   }
 
   ClientSide& side_;
@@ -349,8 +419,9 @@
   bool asked_ = false;           // something has come on it
   bool reading_ = true;
   bool eof_ = false;
-  bool broken_ = false;  // framing lost: closes after the answers due
-  bool over_limit_;      // refused and closed
+  bool leaving_ = false;  // its end is there, behind bytes that are not read yet
+  bool broken_ = false;   // framing lost: closes after the answers due
+  bool over_limit_;       // refused and closed
   bool lingering_ = false;
   bool dirty_ = false;
   bool closed_ = false;
@@ -383,6 +454,7 @@
       carrier_(carrier),
       limits_(limits),
       scratch_(std::make_unique<char[]>(kScratch)) {
+  look_event_.reset(event_new(base, -1, 0, on_look, this));
   sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
   timeval every = timeval_of(kSweep);
   event_add(sweep_event_.get(), &every);
@@ -415,7 +487,7 @@
 
 void ClientSide::accept_some(int most) {
   while (most-- > 0) {
-    while (connections_.size() >= limits_.connections && make_room()) {
+    while (connections_.size() >= limits_.connections && someone_waits() && make_room()) {
     }
     if (connections_.size() >= limits_.connections + limits_.spare_connections) {
       accept_paused_ = true;  // level-triggered: without this the loop would spin
@@ -477,12 +549,48 @@
   for (int kind = 0; kind < kKinds; ++kind) {
     ClientConnection* c = oldest[kind];
     if (!c || (kind != kIdle && clock_.now() - c->since_ < kSilentTime)) continue;
+    if (kind == kLingering && c->unacknowledged() && clock_.now() - c->since_ < kStallTime)
+      continue;
+    if (kind != kLingering) {
+      bool busy = !c->nothing_came();
+      if (!busy && c->unacknowledged()) c->finish(), busy = true;
+      if (busy) return make_room();  // one fewer that is idle
+    }
     close(*c);
     return true;
   }
   return false;
 }
 
+/// Nobody has to make way before somebody has come.
+bool ClientSide::someone_waits() const {
+  pollfd p{listener_.get(), POLLIN, 0};
+  return ::poll(&p, 1, 0) > 0;
+}
+
+void ClientSide::look_for_ends() {
+  if (event_pending(look_event_.get(), EV_TIMEOUT, nullptr)) return;
+  timeval soon = timeval_of(kLookForEnd);
+  event_add(look_event_.get(), &soon);
+}
+
+void ClientSide::on_look(evutil_socket_t, short, void* self) {
+  auto* side = static_cast<ClientSide*>(self);
+  bool unread = false;
+  for (std::size_t k = side->connections_.size(); k-- > 0;) {
+    if (k >= side->connections_.size()) continue;
+    ClientConnection& c = *side->connections_[k];
+    unread |= !c.reading_;
+    c.look_for_end();
+  }
+  if (unread) side->look_for_ends();
+}
+
+void ClientSide::end() {
+  for (std::size_t k = connections_.size(); k-- > 0;)
+    if (k < connections_.size()) connections_[k]->end();
+}
+
 void ClientSide::sweep() {
   Micros now = clock_.now();
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -80,6 +80,8 @@
   /// Planned end: takes the connections that wait in the backlog, stops listening and closes every
   /// connection as soon as it is between requests.
   void drain();
+  /// The process's last step: what is written gets its way out before the sockets are closed.
+  void end();
   std::size_t connections() const { return connections_.size(); }
   /// Large values on their way to clients.
   std::size_t piping() const { return piping_; }
@@ -99,9 +101,13 @@
   void admit(Fd fd, bool adopted);
   /// Connections between requests are to be closed now.
   bool closing() const;
+  bool someone_waits() const;
   /// Closes the connection that is missed least; false where all are in use.
   bool make_room();
   void sweep();
+  /// Asks connections that are not read whether their client has ended them.
+  void look_for_ends();
+  static void on_look(evutil_socket_t, short, void* self);
   void touch(ClientConnection& connection);
   void close(ClientConnection& connection);
 
@@ -113,7 +119,7 @@
   BinaryRules rules_;
   StatSource stats_;
   Fd listener_;
-  EventPtr accept_event_, sweep_event_;
+  EventPtr accept_event_, sweep_event_, look_event_;
   bool accept_paused_ = false;
   bool draining_ = false;
   bool held_back_ = false;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -248,6 +248,7 @@
   Micros waited = r->clock_.now() - r->stopping_since_;
   if ((r->core_.open_requests() == 0 && r->clients_.connections() == 0 && drained) ||
       waited > r->core_.longest_deadline() + kStopSlack) {
+    r->clients_.end();
     r->done_ = true;
     return;
   }
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -66,6 +66,7 @@
   add("server_connections_made_room", s.made_room);
   add("server_connections_kept", s.kept);
   add("server_attempts_recalled", s.recalled);
+  add("server_attempts_taken_back", s.taken_back);
   add("server_garbage", s.garbage);
   add("server_late_answers", s.late_answers);
   add("server_wrong_protocol", s.wrong_protocol);
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -51,6 +51,7 @@
     }
     if (!next || !fits(*next, got)) return Got::Broken;
     answer.status = status_of(got);
+    answer.named = !got.id.empty();
     answer.last = got.last;
     answer.length = got.length;
     answer.result.value = std::move(got.value);
@@ -143,6 +144,7 @@
     if (!next || !fits(*next, got)) return Got::Broken;
     answer = Answer();
     answer.status = status_of(*next, got.status);
+    answer.named = true;  // by its opaque
     if (answer.status == Status::Ok && next->write) answer.result.receipt = receipt_of(got.cas);
     if (answer.status == Status::Ok && !next->write) {
       answer.result.value = std::move(got.value);
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -40,6 +40,7 @@
   struct Answer {
     Status status = Status::Error;
     AttemptResult result;
+    bool named = false;      ///< it bears what ties it to its command and to no other
     bool last = false;       ///< after it the connection's framing is not to be trusted
     std::size_t length = 0;  ///< of Begin: bytes of the value, with two more for its CRLF
   };
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -44,6 +44,9 @@
 constexpr Micros kPipeSilence = 5 * kSecond;
 // What one large value holds at least and at most; its writer may go over it by one read.
 constexpr std::size_t kLeastWindow = 8u << 10, kMostWindow = 64u << 10;
+// An answer that names no command may come twice, the second time some milliseconds late. Behind
+// one of its kind within this time it may be that, and then says nothing of the next command.
+constexpr Micros kSecondAnswer = 50 * kMillisecond;
 // A server of the wrong protocol is told of this often.
 constexpr Micros kComplainEvery = 10 * kSecond;
 
@@ -302,6 +305,15 @@
       }
       if (!last && !std::exchange(pool_.proven, true))
         for (auto& c : pool_.connections) side_.touch(*c);
+      // Believed, "busy" would let a write run twice that may run once. Reads can take it as it is.
+      bool unnamed_again = !answer.named && unnamed_at_ > 0 &&
+                           used_at_ - unnamed_at_ < kSecondAnswer &&
+                           entries_.front().expected.write;
+      if (!answer.named) unnamed_at_ = used_at_;
+      if (unnamed_again) {
+        spoilt();
+        return;
+      }
       Entry done = std::move(entries_.front());
       entries_.pop_front();
       --sent_;
@@ -352,6 +364,7 @@
   bool doomed_ = false;        // to be closed in the next flush
   bool heard_ = false;         // bytes have come on it
   bool answered_ = false;      // an answer has come on it
+  Micros unnamed_at_ = 0;      // the last answer that named no command; 0: none
   std::deque<Entry> entries_;  // in the order of their answers
   std::size_t sent_ = 0;       // of them, written whole
   std::size_t partial_ = 0;    // bytes of the next one that are written
@@ -652,6 +665,54 @@
   touch(*c);
 }
 
+std::optional<Status> ServerSide::end(const std::string& server, RequestId id, int attempt) {
+  auto at = pools_.find(server);
+  if (at == pools_.end()) return Status::Cancelled;
+  for (auto& owner : at->second->connections) {
+    ServerConnection& c = *owner;
+    auto same = [&](const ServerConnection::Entry& e) {
+      return e.live && e.id == id && e.attempt == attempt;
+    };
+    auto entry = std::find_if(c.entries_.begin(), c.entries_.end(), same);
+    if (entry == c.entries_.end()) continue;
+    if (entry - c.entries_.begin() >= static_cast<std::ptrdiff_t>(c.sent_))
+      return cancel(server, id, attempt);
+    bool others = c.pipe_ || std::any_of(c.entries_.begin(), c.entries_.end(),
+                                         [&](const auto& e) { return e.live && !same(e); });
+    if (others || !may_close(c)) return std::nullopt;
+    entry->live = false;
+    ++at->second->given_up;
+    close(c);
+    return Status::Cancelled;
+  }
+  return Status::Cancelled;
+}
+
+bool ServerSide::take_back(const std::string& server, RequestId id, int attempt) {
+  auto at = pools_.find(server);
+  if (at == pools_.end()) return false;
+  for (auto& owner : at->second->connections) {
+    ServerConnection& c = *owner;
+    for (std::size_t k = c.sent_; k < c.entries_.size(); ++k) {
+      ServerConnection::Entry& e = c.entries_[k];
+      if (!e.live || e.id != id || e.attempt != attempt) continue;
+      if (k > c.sent_ || c.partial_ == 0) {
+        c.entries_.erase(c.entries_.begin() + static_cast<std::ptrdiff_t>(k));
+      } else {
+        auto begun = c.entries_.begin() + static_cast<std::ptrdiff_t>(c.sent_);
+        if (c.pipe_ ||
+            std::any_of(c.entries_.begin(), begun, [](const auto& other) { return other.live; }))
+          return false;
+        e.live = false;
+        close(c);
+      }
+      ++counts_.taken_back;
+      return true;
+    }
+  }
+  return false;
+}
+
 Status ServerSide::cancel(const std::string& server, RequestId id, int attempt) {
   auto at = pools_.find(server);
   if (at == pools_.end()) return Status::Cancelled;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -60,6 +60,12 @@
             Micros wait) override;
   /// Gives an attempt up: Moot where nothing of it was sent whole, Cancelled where it may have run.
   Status cancel(const std::string& server, RequestId id, int attempt) override;
+  /// A written attempt is out as long as its connection is open: that is closed, where nobody else
+  /// waits for anything on it and answers have paid for another.
+  std::optional<Status> end(const std::string& server, RequestId id, int attempt) override;
+  /// Where the attempt is written in part, its connection has to end for it: only where nothing
+  /// else is waited for there that may have begun.
+  bool take_back(const std::string& server, RequestId id, int attempt) override;
   /// The binary protocol has no field for a key, so not while a listed server speaks it; but where
   /// those servers take the CAS for it (`server_idempotency`), keys of its form pass.
   bool keeps_key(const Request& request) const override;
@@ -68,10 +74,11 @@
     std::uint64_t dials = 0, failed_dials = 0, pipelined = 0, no_connection = 0;
     std::uint64_t ended_idle = 0, ended_busy = 0, garbage = 0, closed_idle = 0, gave_up = 0;
     std::uint64_t late_answers = 0, made_room = 0, wrong_protocol = 0;
-    std::uint64_t no_room = 0;   ///< dials that the server had no room for
-    std::uint64_t recalled = 0;  ///< attempts taken back unsent, since their server leaves
-    std::uint64_t kept = 0;      ///< given up on and not closed, for want of answers to pay for it
-    std::uint64_t written = 0;   ///< attempts, whole
+    std::uint64_t no_room = 0;     ///< dials that the server had no room for
+    std::uint64_t recalled = 0;    ///< attempts taken back unsent, since their server leaves
+    std::uint64_t taken_back = 0;  ///< attempts taken back unsent, since their client has gone
+    std::uint64_t kept = 0;     ///< given up on and not closed, for want of answers to pay for it
+    std::uint64_t written = 0;  ///< attempts, whole
     std::uint64_t piped = 0, pipes_broken = 0;  ///< large values, and those that did not come whole
   };
   const Counts& counts() const { return counts_; }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -12,6 +12,7 @@
 #include "limits/draws.hpp"
 #include "limits/limits.hpp"
 #include "limits/pace.hpp"
+#include "limits/slow_start.hpp"
 #include "recovery/asking.hpp"
 #include "recovery/company.hpp"
 #include "recovery/writes.hpp"
@@ -102,9 +103,6 @@
 constexpr double kCoolSpan = 2;     // seconds one report may stand for
 // Cold servers get this multiple of their fair, cold-weighted share at most.
 constexpr double kColdBudget = 1.3;
-// What a cold server's budget saves up, as part of tip_after: with all of it, a hot key that came
-// after a quiet spell spent twice the budget at once.
-constexpr double kColdBurst = 0.4;
 // And this part of what would push one over had warm servers been at the very edge of their
 // capacity.
 constexpr double kColdBorne = 0.5;
@@ -154,8 +152,7 @@
     double crowded = 0;  // part given up for refusals as full
     Micros crowded_at = 0;
     Micros report_at = 0;
-    double cold_tokens = 0;
-    Micros cold_at = 0;
+    limits::SlowStart slow_start;
     std::unique_ptr<limits::Rule> window;  // attempts out, whatever they are
   };
   enum class Ran { Out, Maybe, Never };
@@ -437,17 +434,8 @@
     return warmth(s) * s.listed.weight * most;
   }
 
-  /// A cold server's budget: tokens in units of a mean request. Every router keeps its own part, so
-  /// that all together stay within the rule without agreeing. Tokens start at random under one, or
-  /// many routers that each may send one request at once would tip a server together.
   bool cold_has_room(ServerState& s, double cost) {
-    if (!cold(s)) return true;
-    double rate = cold_rate(s);
-    double cap = std::max(1.0, kColdBurst * rate * static_cast<double>(set.tip_after) / kSecond);
-    s.cold_tokens += rate * static_cast<double>(now - s.cold_at) / kSecond;
-    s.cold_tokens = std::min(s.cold_tokens, cap);
-    s.cold_at = now;
-    return s.cold_tokens >= std::min(cost, cap);
+    return !cold(s) || s.slow_start.admits(now, cold_rate(s), set.tip_after, cost);
   }
 
   struct Landing {
@@ -870,7 +858,7 @@
     ++s.in_flight, ++s.kept, ++total_in_flight;
     fade_rates();
     rate_sum += cost_of(o);
-    if (cold(s)) s.cold_tokens -= cost_of(o);
+    if (cold(s)) s.slow_start.sent(cost_of(o));
     Micros left = o.deadline - now;
     Micros wait = patience(o);
     bool again = static_cast<int>(o.attempts.size()) < set.max_attempts &&
@@ -955,7 +943,7 @@
     if (restarted && s.present) {  // a new process: what was held against the old one is void
       s.doubt = 0, s.strikes = 0, s.dead_until = 0, s.returned_at = 0;
       s.slow_log = 0, s.slow_seen = 0, s.load_live = 1, s.crowded = 0, s.bad_share = 0;
-      s.cold_tokens = random(), s.cold_at = now;
+      s.slow_start.reset(now, random());
       s.window->reset();
     }
   }
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -83,6 +83,8 @@
     ++cancelled_;
     return Status::Cancelled;
   }
+  std::optional<Status> end(const std::string&, RequestId, int) override { return ends_; }
+  bool take_back(const std::string&, RequestId, int) override { return unwritten_; }
   bool keeps_key(const Request&) const override { return keeps_key_; }
   void watch() override {}
   void fetch() override {}
@@ -90,6 +92,8 @@
   Micros now_ = 1'000 * kSecond;
   bool keeps_key_ = true;
   int cancelled_ = 0;
+  std::optional<Status> ends_ = Status::Cancelled;  // what end() comes to
+  bool unwritten_ = false;                          // attempts wait to be sent
   std::vector<Sent> sent_;
   std::set<std::string> names_;
   std::unique_ptr<Core> core_;
@@ -193,6 +197,70 @@
   EXPECT_EQ(core_->open_requests(), 0u);
 }
 
+// Nothing of it has been sent: it is taken back at once, and not by leave of the settings.
+TEST_F(CoreTest, WhatWaitsUnsentForAClientThatIsGoneIsTakenBack) {
+  robinseam::Settings settings = basic_settings();
+  settings.may_cancel = false;
+  for (bool unwritten : {true, false}) {
+    use(settings);
+    unwritten_ = unwritten;
+    Sink sink;
+    RequestId id = take(read(), sink);
+    core_->gone(id);
+    core_->turn();
+    EXPECT_EQ(core_->open_requests(), unwritten ? 0u : 1u);
+    EXPECT_EQ(cancelled_, 0);
+  }
+}
+
+// A moment later, and the client may still read: what has not been sent by then never ran.
+TEST_F(CoreTest, WhatWaitsUnsentForAClientThatHasLeftIsTakenBackAMomentLater) {
+  struct Case {
+    const char* idempotency;
+    bool unwritten;
+    int replies;
+    Reply::Kind kind;
+  };
+  for (const Case& c : {Case{nullptr, true, 1, Reply::Kind::Refused},
+                        Case{"k1", true, 1, Reply::Kind::Failed},  // an earlier try may have run
+                        Case{nullptr, false, 0, Reply::Kind::Failed}}) {
+    use(with_put(robinseam::Effect::Keyed));
+    unwritten_ = c.unwritten;
+    Sink sink;
+    RequestId id = take(c.idempotency ? put(c.idempotency) : read(), sink);
+    core_->left(id);
+    core_->turn();
+    EXPECT_EQ(sink.replies, 0);
+    now_ += 50 * kMillisecond;
+    core_->turn();
+    EXPECT_EQ(sink.replies, c.replies);
+    EXPECT_EQ(core_->open_requests(), c.replies ? 0u : 1u);
+    if (c.replies) {
+      EXPECT_EQ(sink.last.kind, c.kind);
+    }
+  }
+}
+
+// Two may not be out at once, and the first can't be ended yet: nothing follows until it can.
+TEST_F(CoreTest, WithoutSecondCopiesNoAttemptFollowsOneThatIsStillOut) {
+  robinseam::Settings settings = basic_settings();
+  settings.second_copies = false;
+  use(settings);
+  Sink sink;
+  ends_ = std::nullopt;
+  Request r = read();
+  r.patience = 600 * kMillisecond;
+  take(std::move(r), sink);
+  Micros begun = now_;
+  for (; now_ < begun + 400 * kMillisecond; now_ += kMillisecond) core_->turn();
+  EXPECT_EQ(sent_.size(), 1u);
+  ends_ = Status::Cancelled;
+  now_ += 20 * kMillisecond;
+  core_->turn();
+  EXPECT_EQ(sent_.size(), 2u);
+  EXPECT_EQ(sent_.back().attempt, 1);
+}
+
 TEST_F(CoreTest, AClientThatHasLeftGetsWhatWasOutAndNothingNewIsSent) {
   Sink sink;
   RequestId id = take(read(), sink);
--- /dev/null
+++ b/tests/net/endings_test.cpp
@@ -0,0 +1,620 @@
+// Whatever ends, nothing is owed afterwards: each test forces the crossing that an end may have, a
+// step of the loop at a time, on real sockets (docs/design/endings.md has the table).
+#include <sys/ioctl.h>
+
+#include <map>
+#include <memory>
+
+#include "../loopback.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+std::string get(const std::string& id, const std::string& wait = "15000") {
+  return "mg key v O" + id + " Pc=read,t=acme,d=" + wait + ",h=1200\r\n";
+}
+
+struct Still final : TimeSource {
+  Micros at = 1'000'000 * kSecond;
+  Micros now() const override { return at; }
+};
+
+/// A client side of its own on the test's thread and clock; the test carries attempts out.
+struct Clients final : Carrier, Lister {
+  explicit Clients(ClientSide::Limits limits = {}) : side(base.get(), clock, core, *this, limits) {
+    std::string error;
+    EXPECT_TRUE(side.listen(*parse_address("127.0.0.1:0"), error)) << error;
+    core.start({server});
+    turn();
+  }
+  static robinseam::Server one() {
+    robinseam::Server s;
+    s.id = "s-1", s.zone = "a", s.kind = "std";
+    return s;
+  }
+  void send(const std::string&, RequestId id, int attempt, const Request& request,
+            Micros) override {
+    sent.push_back(request.id);
+    out.push_back({id, attempt});
+  }
+  Status cancel(const std::string&, RequestId, int) override { return Status::Cancelled; }
+  bool take_back(const std::string&, RequestId, int) override { return unwritten; }
+  bool keeps_key(const Request&) const override { return true; }
+  void watch() override {}
+  void fetch() override {}
+
+  void turn() {
+    do {
+      core.turn();
+      side.flush();
+    } while (core.pending() || side.dirty());
+  }
+  void run() {
+    turn();
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    turn();
+  }
+  template <class Condition>
+  void run_until(Condition condition) {
+    while (!condition()) {
+      event_base_loop(base.get(), EVLOOP_ONCE);  // the sweep wakes it
+      turn();
+    }
+  }
+  Link connect() {
+    std::size_t before = side.connections();
+    Link link = Link::to(side.port());
+    run_until([&] { return side.connections() > before; });
+    return link;
+  }
+  /// Answers the attempt of that number, counted from 0.
+  void serve(std::size_t number, const std::string& value) {
+    AttemptResult result;
+    result.value = value;
+    core.attempt_ended(out[number].first, out[number].second, Status::Ok, std::move(result));
+  }
+  /// `act` right before the next sweep, in the same step of the loop: what it writes is not read
+  /// before that.
+  void before_sweep(const std::function<void()>& act) {
+    timeval due{0, 150'000};  // the loop stands still until its sweep is due
+    ::select(0, nullptr, nullptr, nullptr, &due);
+    in_step(act);
+  }
+  /// `act` as the first thing that the loop's next step does, whatever else it finds then.
+  void in_step(const std::function<void()>& act) {
+    auto call = [](evutil_socket_t, short, void* what) {
+      (*static_cast<const std::function<void()>*>(what))();
+    };
+    EventPtr first(event_new(base.get(), -1, 0, call, const_cast<std::function<void()>*>(&act)));
+    event_active(first.get(), 0, 0);
+    event_base_loop(base.get(), EVLOOP_NONBLOCK | EVLOOP_ONCE);
+    turn();
+  }
+
+  Still clock;
+  EventBasePtr base{event_base_new()};
+  robinseam::Server server = one();
+  Core core{parse_config(ConfigText().text()).settings, 1, clock, *this, 1000, 1000};
+  ClientSide side;
+  std::vector<std::string> sent;
+  std::vector<std::pair<RequestId, int>> out;
+  bool unwritten = false;
+};
+
+void expect_served(Link& link, const std::string& id) {
+  EXPECT_EQ(link.line(), "VA 1 O" + id + "\r\n");
+  EXPECT_EQ(link.line(), "v\r\n");
+}
+
+// ---- a request that reaches a connection in the moment of its end ----
+
+TEST(Endings, ARequestThatComesAsItsConnectionIsToBeClosedIsServed) {
+  struct Case {
+    const char* what;
+    bool asked, away;
+    Micros later;
+  };
+  const Case cases[] = {{"idle for long", true, false, 11 * kSecond},
+                        {"silent since its connect", false, false, 3 * kSecond},
+                        {"idle, clients are sent away", true, true, 3 * kSecond}};
+  for (const Case& c : cases) {
+    Clients clients;
+    Link link = clients.connect();
+    if (c.asked) {
+      link.write("mn\r\n");
+      clients.run();
+      EXPECT_EQ(link.line(), "MN\r\n") << c.what;
+    }
+    if (c.away) clients.side.send_away(true);
+    clients.before_sweep([&] {
+      clients.clock.at += c.later;
+      link.write(get("r1"));
+    });
+    ASSERT_EQ(clients.sent.size(), 1u) << c.what;
+    clients.serve(0, "v");
+    clients.run();
+    expect_served(link, "r1");
+  }
+}
+
+TEST(Endings, ARequestThatComesAsItsConnectionIsToMakeWayIsServed) {
+  for (bool asked : {true, false}) {
+    ClientSide::Limits limits;
+    limits.connections = 1, limits.spare_connections = 1;
+    Clients clients(limits);
+    Link link = clients.connect();
+    if (asked) {
+      link.write("mn\r\n");
+      clients.run();
+      EXPECT_EQ(link.line(), "MN\r\n");
+    }
+    clients.clock.at += kSecond;
+    Link other;
+    clients.in_step([&] {
+      other = Link::to(clients.side.port());
+      link.write(get("r1"));
+    });
+    clients.run();
+    ASSERT_EQ(clients.sent.size(), 1u);
+    clients.serve(0, "v");
+    clients.run();
+    expect_served(link, "r1");
+  }
+}
+
+// Clients are being sent away, the answer goes out, and the next request lies there already.
+TEST(Endings, ARequestBehindAnAnswerIsReadBeforeTheConnectionIsEnded) {
+  Clients clients;
+  Link link = clients.connect();
+  link.write(get("r1"));
+  clients.run_until([&] { return clients.sent.size() == 1; });
+  clients.side.send_away(true);
+  clients.clock.at += kSecond;
+  clients.serve(0, "v");
+  link.write(get("r2"));
+  clients.turn();
+  ASSERT_EQ(clients.sent.size(), 2u);
+  clients.serve(1, "v");
+  clients.run();
+  expect_served(link, "r1");
+  expect_served(link, "r2");
+  EXPECT_TRUE(link.ends());
+}
+
+// Behind our shutdown nothing is sent on, and the client sees an end, no reset.
+TEST(Endings, WhatComesBehindTheShutdownIsReadAndDropped) {
+  Clients clients;
+  Link link = clients.connect();
+  link.write("mn\r\n");
+  clients.run();
+  EXPECT_EQ(link.line(), "MN\r\n");
+  clients.side.drain();
+  clients.run();
+  EXPECT_TRUE(link.ends());
+  link.write(get("r1"));
+  clients.run();
+  EXPECT_TRUE(clients.sent.empty());
+  EXPECT_EQ(clients.side.connections(), 1u);  // lingers
+  link.close();
+  clients.run_until([&] { return clients.side.connections() == 0; });
+}
+
+// From the drain on a till that goes on sending gets what was begun, then the end: what it sent
+// meanwhile was not taken, so that it is not lost when the process's time is over.
+TEST(Endings, OnceDrainingNoMoreIsTakenBehindWhatIsOut) {
+  Clients clients;
+  Link link = clients.connect();
+  link.write(get("r1"));
+  clients.run_until([&] { return clients.sent.size() == 1; });
+  clients.side.drain();
+  clients.run();
+  link.write(get("r2"));
+  clients.run();
+  EXPECT_EQ(clients.sent.size(), 1u);
+  clients.serve(0, "v");
+  clients.run();
+  expect_served(link, "r1");
+  EXPECT_TRUE(link.ends());
+  EXPECT_EQ(clients.sent.size(), 1u);
+}
+
+// ---- an answer that its till has not read yet ----
+
+/// A connection whose receive buffer is small, with more than it holds on its way to it.
+struct SlowReader {
+  explicit SlowReader(Clients& clients) {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    int small = 4096;
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    auto address = parse_address("127.0.0.1:" + std::to_string(clients.side.port()));
+    EXPECT_EQ(::connect(fd.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address), 0);
+    link = Link(std::move(fd));
+    link.write(get("r1"));
+    clients.run_until([&] { return clients.sent.size() == 1; });
+    clients.serve(0, std::string(kMaxValue, 'v'));
+    clients.run();
+  }
+  void expect_whole() {
+    EXPECT_EQ(link.line(), "VA " + std::to_string(kMaxValue) + " Or1\r\n");
+    EXPECT_TRUE(link.bytes(kMaxValue + 2) == std::string(kMaxValue, 'v') + "\r\n");
+    EXPECT_TRUE(link.ends());
+  }
+  Link link;
+};
+
+TEST(Endings, ALingeringConnectionStaysUntilItsTillHasTheAnswer) {
+  for (bool room : {false, true}) {
+    ClientSide::Limits limits;
+    limits.connections = 1, limits.spare_connections = 0;
+    Clients clients(limits);
+    SlowReader reader(clients);
+    if (room) clients.side.send_away(true), clients.clock.at += kSecond;
+    if (!room) clients.side.drain();
+    clients.before_sweep([&] { clients.clock.at += kSecond; });
+    clients.before_sweep([&] { clients.clock.at += kSecond; });
+    Link other;
+    if (room) {
+      other = Link::to(clients.side.port());
+      clients.run();
+    }
+    // Were the socket closed by now, this would be answered with a reset, which destroys the rest.
+    reader.link.write(get("r2"));
+    EXPECT_EQ(clients.side.connections(), 1u) << room;
+    reader.expect_whole();
+    reader.link.close();
+    clients.run_until([&] { return clients.side.connections() <= (room ? 1u : 0u); });
+    EXPECT_EQ(clients.sent.size(), 1u);
+  }
+}
+
+// A till that never takes it does not keep its connection for good.
+TEST(Endings, ALingeringConnectionIsClosedInTheEnd) {
+  Clients clients;
+  SlowReader reader(clients);
+  clients.side.drain();
+  clients.run();
+  clients.before_sweep([&] { clients.clock.at += 6 * kSecond; });
+  EXPECT_EQ(clients.side.connections(), 0u);
+}
+
+TEST(Endings, TheProcessesLastStepLeavesWrittenAnswersTheirWay) {
+  auto clients = std::make_unique<Clients>();
+  SlowReader reader(*clients);
+  clients->side.drain();
+  clients->run();
+  reader.link.write(get("r2"));
+  clients->side.end();
+  clients.reset();
+  reader.expect_whole();
+}
+
+// ---- a client that has gone ----
+
+// It sent more than is read from it at once, and left: its end lies behind bytes that are not read.
+TEST(Endings, NothingMoreIsBegunForAClientThatSentMuchAndLeft) {
+  for (bool reset : {false, true}) {
+    Clients clients;
+    Link link = clients.connect();
+    std::string many;
+    for (int k = 0; k < 2000; ++k) many += get("m" + std::to_string(k));
+    link.write(many);
+    clients.run_until([&] { return clients.sent.size() == 32; });
+    reset ? link.send_reset() : link.close();
+    // Seen without reading: the core hears of all that is open.
+    auto heard = [&] { return clients.core.module_stats().open_requests == 0; };
+    clients.run_until(heard);
+    clients.clock.at += 60 * kMillisecond;
+    for (std::size_t k = 0; k < 32; ++k) clients.serve(k, "v");
+    clients.run_until([&] { return clients.side.connections() == 0; });
+    EXPECT_EQ(clients.sent.size(), 32u) << reset;
+    EXPECT_EQ(clients.core.open_requests(), 0u) << reset;
+  }
+}
+
+// Only its sending has ended: what may run is waited for, what has not been begun a moment later is
+// refused, each in its place.
+TEST(Endings, AHalfClosedTillGetsWhatMayRunAndIsRefusedTheRest) {
+  Clients clients;
+  Link link = clients.connect();
+  std::string many;
+  for (int k = 0; k < 40; ++k) many += get("h" + std::to_string(k));
+  link.write(many);
+  clients.run_until([&] { return clients.sent.size() == 32; });
+  link.end_sending();
+  clients.run_until([&] { return clients.core.module_stats().open_requests == 0; });
+  clients.clock.at += 60 * kMillisecond;
+  clients.run();
+  for (std::size_t k = 0; k < 32; ++k) clients.serve(k, "v");
+  clients.run();
+  for (int k = 0; k < 32; ++k) expect_served(link, "h" + std::to_string(k));
+  for (int k = 32; k < 40; ++k) EXPECT_EQ(link.line(), "SERVER_ERROR busy\r\n");
+  EXPECT_TRUE(link.ends());
+  EXPECT_EQ(clients.sent.size(), 32u);
+}
+
+TEST(Endings, AHalfClosedTillsUnwrittenAttemptIsTakenBackAndRefused) {
+  Clients clients;
+  clients.unwritten = true;
+  Link link = clients.connect();
+  link.write(get("h1"));
+  clients.run_until([&] { return clients.sent.size() == 1; });
+  link.end_sending();
+  clients.run_until([&] { return clients.core.module_stats().open_requests == 0; });
+  EXPECT_TRUE(link.silent(0));
+  clients.clock.at += 60 * kMillisecond;
+  clients.run();
+  EXPECT_EQ(link.line(), "SERVER_ERROR busy\r\n");
+  EXPECT_TRUE(link.ends());
+  EXPECT_EQ(clients.core.open_requests(), 0u);
+}
+
+// ---- attempts ----
+
+/// A server side of its own, on the test's thread and clock.
+struct Servers final : ServerSide::Handler {
+  explicit Servers(const std::string& address, bool binary = false)
+      : side(base.get(), clock, *this, limits(), nullptr) {
+    if (binary) {
+      BinaryRules rules;
+      rules.servers = {{"", ""}};
+      side.set_protocols(rules);
+    }
+    side.take_list(parse_host_list(list_json(1, true, {host_json("s-1", address)})));
+  }
+  static ServerSide::Limits limits() {
+    ServerSide::Limits l;
+    l.per_server = 1;
+    l.dial_timeout = kPatienceMs * kMillisecond;
+    return l;
+  }
+  void on_attempt_end(RequestId id, int, Status status, AttemptResult&&) override {
+    ends[id] = status;
+  }
+  RequestId send(bool write = false, std::size_t size = 1) {
+    Request r;
+    r.key = "key", r.id = "e" + std::to_string(++asked), r.tenant = "acme";
+    r.type = write ? "put" : "read", r.write = write;
+    if (write) r.value = std::make_shared<const std::string>(size, 'x');
+    side.send("s-1", asked, 0, r, kSecond);
+    run();
+    return asked;
+  }
+  void run() {
+    side.flush();
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    side.flush();
+  }
+  template <class Condition>
+  void run_until(Condition condition) {
+    while (!condition()) {
+      event_base_loop(base.get(), EVLOOP_ONCE);
+      side.flush();
+    }
+  }
+  void written(std::uint64_t count) {
+    run_until([&] { return side.counts().written >= count; });
+  }
+  Status end_of(RequestId id) {
+    run_until([&] { return ends.count(id) > 0; });
+    return ends[id];
+  }
+  EventBasePtr base{event_base_new()};
+  Still clock;
+  ServerSide side;
+  std::map<RequestId, Status> ends;
+  RequestId asked = 0;
+};
+
+/// A server whose backlog is full: dials to it neither come up nor fail until it accepts.
+struct FullBacklog {
+  FullBacklog() {
+    ::listen(peer.fd(), 0);
+    first = Link::to(static_cast<std::uint16_t>(
+        std::stoi(peer.address().substr(peer.address().rfind(':') + 1))));
+  }
+  /// The connection whose dial hung; it comes up with the system's next try.
+  Link let_in() {
+    peer.accept();
+    return peer.accept();
+  }
+  Peer peer;
+  Link first;
+};
+
+TEST(Endings, AnAttemptTakenBackBehindADialIsNeverWritten) {
+  FullBacklog server;
+  Servers servers(server.peer.address());
+  RequestId gone = servers.send();
+  EXPECT_TRUE(servers.side.take_back("s-1", gone, 0));
+  Link link;
+  std::thread late([&] { link = server.let_in(); });
+  servers.run_until([&] { return servers.side.idle_connections() == 1; });
+  late.join();
+  RequestId next = servers.send();  // the connection that came up late serves it
+  servers.written(1);
+  EXPECT_EQ(link.line().substr(0, 11), "mg key v Oe");
+  link.write(value_answer("e2", "v"));
+  EXPECT_EQ(servers.end_of(next), Status::Ok);
+  EXPECT_EQ(servers.ends.count(gone), 0u);
+  EXPECT_EQ(servers.side.counts().dials, 1u);
+}
+
+TEST(Endings, ADialThatComesUpAfterItsServerHasLeftSendsNothing) {
+  FullBacklog server;
+  Servers servers(server.peer.address());
+  RequestId gone = servers.send();
+  servers.side.take_list(
+      parse_host_list(list_json(2, false, {host_json("s-1", server.peer.address(), "leaving")})));
+  EXPECT_EQ(servers.end_of(gone), Status::Moot);
+  Link link;
+  std::thread late([&] { link = server.let_in(); });
+  servers.run_until([&] { return servers.side.connections() == 0; });
+  late.join();
+  EXPECT_TRUE(link.ends());
+}
+
+// In front of it stands a value that the server does not take: nothing of the next goes out, and of
+// the value itself no more once its client has gone.
+TEST(Endings, WhatAFullSocketHoldsIsTakenBack) {
+  Peer server;
+  Servers servers(server.address());
+  RequestId large = servers.send(true, 32u << 20);
+  servers.run_until([&] { return servers.side.connections() == 1; });
+  Link link = server.accept();
+  servers.run();
+  RequestId behind = servers.send();
+  EXPECT_TRUE(servers.side.take_back("s-1", behind, 0));
+  EXPECT_EQ(servers.side.counts().written, 0u);
+  RequestId last = servers.send();
+  EXPECT_TRUE(servers.side.take_back("s-1", large, 0));  // it was not whole: it never runs
+  EXPECT_EQ(servers.end_of(last), Status::ConnectFailed);
+  EXPECT_EQ(servers.side.connections(), 0u);
+  EXPECT_EQ(servers.side.counts().written, 0u);
+  EXPECT_LT(link.rest().size(), 32u << 20);
+}
+
+// Where others wait on the connection for what may run, the value goes on.
+TEST(Endings, AValueInPartIsNotTakenBackAtItsNeighboursCost) {
+  Peer server;
+  Servers servers(server.address());
+  RequestId first = servers.send();
+  servers.written(1);
+  Link link = server.accept();
+  RequestId large = servers.send(true, 32u << 20);
+  servers.run();
+  EXPECT_FALSE(servers.side.take_back("s-1", large, 0));
+  link.line();
+  link.write(value_answer("e1", "v"));
+  EXPECT_EQ(servers.end_of(first), Status::Ok);
+}
+
+TEST(Endings, BehindTheFirstAnswerOfAnUnprovenServerAttemptsAreTakenBack) {
+  Peer server;
+  Servers servers(server.address(), true);
+  servers.send();
+  servers.written(1);
+  RequestId gone = servers.send();
+  EXPECT_TRUE(servers.side.take_back("s-1", gone, 0));
+  EXPECT_EQ(servers.side.counts().written, 1u);
+}
+
+// Where two attempts of a request may not be out at once, a written one ends with its connection,
+// unless others wait there for what may run.
+TEST(Endings, AnAttemptThatAnotherIsToFollowEndsWithItsConnection) {
+  for (bool neighbour : {false, true}) {
+    Peer server;
+    Servers servers(server.address());
+    RequestId first = servers.send();
+    servers.written(1);
+    Link link = server.accept();
+    link.line();
+    RequestId second = neighbour ? servers.send() : 0;
+    if (neighbour) servers.written(2);
+    EXPECT_EQ(servers.side.end("s-1", first, 0),
+              neighbour ? std::nullopt : std::optional(Status::Cancelled));
+    if (!neighbour) {
+      EXPECT_TRUE(link.ends());
+      EXPECT_EQ(servers.ends.count(first), 0u);
+      continue;
+    }
+    link.line();
+    link.write(value_answer("e1", "v") + value_answer("e2", "v"));  // it goes on
+    EXPECT_EQ(servers.end_of(first), Status::Ok);
+    EXPECT_EQ(servers.end_of(second), Status::Ok);
+  }
+}
+
+// ---- a second answer ----
+
+// It names no command, so that it could be the next one's: that a write never ran is not believed.
+TEST(Endings, ASecondRefusalDoesNotSayThatTheNextWriteNeverRan) {
+  struct Case {
+    const char* what;
+    bool write, pipelined;
+    Micros later;
+    Status status;
+  };
+  const Case cases[] = {
+      {"a write, right behind", true, true, 0, Status::Spoilt},
+      {"a write, some milliseconds late", true, false, 9 * kMillisecond, Status::Spoilt},
+      {"a read, which may run twice", false, false, 0, Status::Full},
+      {"a refusal long after", true, false, kSecond, Status::Full}};
+  for (const Case& c : cases) {
+    Peer server;
+    Servers servers(server.address());
+    RequestId first = servers.send();
+    servers.written(1);
+    Link link = server.accept();
+    link.line();
+    RequestId second = 0;
+    if (c.pipelined) {
+      second = servers.send(c.write);
+      servers.written(2);
+      link.write("SERVER_ERROR busy\r\nSERVER_ERROR busy\r\n");
+    } else {
+      link.write("SERVER_ERROR busy\r\n");
+      EXPECT_EQ(servers.end_of(first), Status::Full) << c.what;
+      servers.clock.at += c.later;
+      second = servers.send(c.write);
+      servers.written(2);
+      link.write("SERVER_ERROR busy\r\n");
+    }
+    EXPECT_EQ(servers.end_of(second), c.status) << c.what;
+  }
+}
+
+// Those that name their command are never another's.
+TEST(Endings, ASecondValueIsNoAnswerToTheNextCommand) {
+  for (bool binary : {false, true}) {
+    Peer server;
+    Servers servers(server.address(), binary);
+    RequestId first = servers.send();
+    servers.written(1);
+    Link link = server.accept();
+    std::string answer = value_answer("e1", "v");
+    if (binary) {
+      std::string packet = link.bytes(binary::kHeader + 3);
+      binary::Answer bytes;
+      answer = binary::response(binary::Opcode::GetK, binary::status::kOk, 1, "v", "key");
+    } else {
+      link.line();
+    }
+    link.write(answer);
+    EXPECT_EQ(servers.end_of(first), Status::Ok);
+    RequestId second = servers.send();
+    servers.written(2);
+    link.write(answer);
+    EXPECT_EQ(servers.end_of(second), Status::Spoilt);
+  }
+}
+
+// ---- the process's end ----
+
+ConfigText one_server(const Peer& server) {
+  ConfigText c;
+  c.hosts = {host_json("s-1", server.address())};
+  return c;
+}
+
+// The server hangs, or has said half a line: the till gets its one answer in its time, though that
+// is short, and the process ends.
+TEST(Endings, SigtermWhileAServerHangsLeavesNobodyWithoutAnAnswer) {
+  for (const char* said : {"", "VA 1", "VA 5 Ot1\r\nab"}) {
+    Peer server;
+    RunningRouter router(one_server(server));
+    Link till = router.client(), other = router.client();
+    till.write(get("t1", "300"));
+    Link at_server = server.accept();
+    at_server.line();
+    at_server.write(said);
+    router.terminate();
+    std::string answer = till.line();
+    EXPECT_EQ(answer.substr(0, 13), "SERVER_ERROR ") << said;
+    EXPECT_TRUE(till.ends()) << said;
+    till.close(), other.close();
+    router.wait_for_end();
+  }
+}
+
+}  // namespace
+}  // namespace arrowfork::test
--- /dev/null
+++ b/tests/recovery/slow_start_test.cpp
@@ -0,0 +1,223 @@
+// What all routers together send to a server that has just started, in virtual time and by the
+// module itself: within any window of TipAfterUs it stays within what the server's budget allows.
+#include "limits/slow_start.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "robinseam/balancer.hpp"
+
+namespace robinseam {
+namespace {
+
+constexpr Micros kMs = 1000, kS = 1'000'000;
+constexpr int kServers = 10;
+constexpr double kLoad = 0.66;  // of what the warm servers can do
+constexpr double kRate = 73;    // requests a second of the tier: a cold server's budget is 20
+constexpr Micros kStarts = 20 * kS, kEnd = 32 * kS;
+
+struct Trouble {
+  const char* what;
+  bool burst = false;     // three times the traffic, right as the server has started
+  bool hot = false;       // a new key has a third of it from then on
+  bool failover = false;  // half of the other servers go a second after
+  bool restart = false;   // all routers start anew with it
+  bool uneven = false;    // one router in ten sees five times the mean of the others
+  bool all = false;       // every server starts then
+  Micros after = 0;       // burst and hot key come so long after the start
+  double work = 1;        // of a request for the hot key, in mean ones
+};
+
+struct Figures {
+  double worst = 0;   // most requests in a window, less what is allowed there, chance included
+  double budget = 0;  // of that window
+  double sent = 0;    // in it
+  double served = 0;  // part of all requests, from the start on
+};
+
+Settings settings(int routers) {
+  Settings s;
+  ClassSettings read;
+  read.name = "read", read.aim = 150 * kMs, read.deadline = 600 * kMs;
+  s.classes = {read};
+  s.tenants = {{"all", 1, kRate}};
+  s.routers = routers;
+  s.max_attempts = 5, s.max_retry_after = kS, s.tick = 2 * kMs;
+  s.cold_time = 8 * kS, s.cold_share = 0.3, s.overload_factor = 4, s.tip_after = 1500 * kMs;
+  return s;
+}
+
+Figures play(int routers, const Trouble& trouble, unsigned seed) {
+  std::mt19937_64 random(seed);
+  auto chance = [&] { return std::uniform_real_distribution<>()(random); };
+  Settings set = settings(routers);
+  std::vector<std::unique_ptr<Balancer>> tier;
+  std::vector<Server> list;
+  for (int k = 0; k < kServers; ++k) {
+    list.emplace_back();
+    list.back().id = "s" + std::to_string(k);
+  }
+  auto start = [&](std::size_t r, Micros now) {
+    tier[r] = std::make_unique<Balancer>(set, random(), now);
+    tier[r]->start(now);
+    tier[r]->on_list(now, ListScope::Full, list);
+  };
+  tier.resize(static_cast<std::size_t>(routers));
+  for (std::size_t r = 0; r < tier.size(); ++r) start(r, 0);
+  std::vector<double> weight(tier.size(), 1);
+  if (trouble.uneven)
+    for (std::size_t r = 0; r < tier.size(); r += 10) weight[r] = 5;
+  std::discrete_distribution<std::size_t> router(weight.begin(), weight.end());
+
+  struct Answer {
+    Micros at;
+    std::size_t router;
+    Outcome outcome;
+  };
+  std::deque<Answer> answers;                     // each after 10 ms
+  std::deque<std::pair<Micros, double>> at_cold;  // with their work
+  double in_window = 0;
+  Figures f;
+  double asked = 0, served = 0;
+  bool started = false, failed = false;
+  RequestId id = 0;
+  std::string hot_key = "hot" + std::to_string(seed);
+  auto tell = [&](Micros now, ListScope scope, const std::vector<Server>& entries) {
+    for (auto& one : tier) one->on_list(now, scope, entries);
+  };
+  for (double t = 0; t < static_cast<double>(kEnd);) {
+    auto now = static_cast<Micros>(t);
+    bool burst =
+        trouble.burst && now >= kStarts + trouble.after && now < kStarts + trouble.after + 2 * kS;
+    t += -std::log(1 - chance()) / (kRate * (burst ? 3 : 1)) * kS;
+    if (!started && now >= kStarts) {
+      started = true;
+      for (int k = 0; k < (trouble.all ? kServers : 1); ++k)
+        list[static_cast<std::size_t>(k)].up_since = kStarts;
+      if (trouble.restart)
+        for (std::size_t r = 0; r < tier.size(); ++r) start(r, now), answers.clear();
+      else
+        tell(now, ListScope::Full, list);
+      while (tier[0]->home(hot_key) != list[0].id) hot_key += '+';  // it has to bear it
+    }
+    if (trouble.failover && !failed && now >= kStarts + kS) {
+      failed = true;
+      std::vector<Server> gone;
+      for (std::size_t k = kServers / 2; k < kServers; ++k) {
+        list[k].health = Health::Gone;
+        gone.push_back(list[k]);
+      }
+      tell(now, ListScope::Delta, gone);
+    }
+    while (!answers.empty() && answers.front().at <= now) {
+      Answer a = std::move(answers.front());
+      answers.pop_front();
+      tier[a.router]->on_outcome(a.at, a.outcome);
+    }
+    Request r;
+    r.id = ++id, r.type = "read", r.tenant = "all", r.remaining = 600 * kMs;
+    bool hot = trouble.hot && now >= kStarts + trouble.after && chance() < 0.33;
+    // Zipf-like, with a long tail.
+    r.key = hot ? hot_key : "k" + std::to_string(static_cast<int>(std::pow(2000, chance())));
+    double work = hot ? trouble.work : 1;
+    r.work = static_cast<std::int64_t>(10 * kMs * work);
+    std::size_t at = router(random);
+    bool sent = false;
+    for (const Action& a : tier[at]->on_request(now, r)) {
+      const auto* send = std::get_if<Send>(&a);
+      if (!send) continue;
+      sent = true;
+      Outcome o;
+      o.id = r.id, o.server = send->server, o.finished = true, o.latency = 10 * kMs;
+      answers.push_back({now + 10 * kMs, at, o});
+      if (send->server != list[0].id || now < kStarts || now >= kStarts + set.cold_time) continue;
+      at_cold.emplace_back(now, work);
+      in_window += work;
+      for (; at_cold.front().first < now - set.tip_after; at_cold.pop_front())
+        in_window -= at_cold.front().second;
+      // What it can do at the window's beginning, when it can least.
+      double age = static_cast<double>(std::max(at_cold.front().first, kStarts) - kStarts);
+      double warmth = set.cold_share + (1 - set.cold_share) * age / set.cold_time;
+      double n = set.overload_factor * warmth * kRate / kLoad / kServers * set.tip_after / kS;
+      double over = in_window - (n + 2 * std::sqrt(n) + 2);
+      if (f.budget == 0 || over > f.worst) f.worst = over, f.budget = n, f.sent = in_window;
+    }
+    if (now >= kStarts && now < kStarts + set.cold_time) ++asked, served += sent;
+  }
+  f.served = served / asked;
+  return f;
+}
+
+const Trouble kTroubles[] = {
+    {.what = "alone"},
+    {.what = "a failover", .failover = true},
+    {.what = "a restart, a hot key, uneven", .hot = true, .restart = true, .uneven = true},
+    {.what = "a burst, a hot key, uneven", .burst = true, .hot = true, .uneven = true},
+    {.what = "a hot key of 4 times the work", .hot = true, .work = 4},
+    {.what = "the same 4 s after, burst", .burst = true, .hot = true, .after = 4 * kS, .work = 4},
+    {.what = "small, 2 s after, burst", .burst = true, .hot = true, .after = 2 * kS, .work = 0.25},
+    {.what = "all are cold", .all = true},
+    {.what = "all are cold, a restart of all", .restart = true, .all = true},
+};
+// The table of docs/design/endings.md is with 20, and 10 and 350 routers as well.
+constexpr unsigned kSeeds = 4;
+constexpr int kRouters[] = {1, 30, 300};
+
+TEST(SlowStart, WhatAllRoutersSendStaysWithinTheServersBudget) {
+  for (const Trouble& trouble : kTroubles)
+    for (int routers : kRouters) {
+      Figures worst;
+      worst.worst = -1e9, worst.served = 1;
+      for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+        Figures f = play(routers, trouble, seed);
+        double served = std::min(worst.served, f.served);
+        if (f.worst > worst.worst) worst = f;
+        worst.served = served;
+      }
+      EXPECT_LE(worst.worst, 0) << trouble.what << ' ' << routers << ": " << worst.sent << " of "
+                                << worst.budget;
+      // The others bear it; where all are cold it is the ramp that may not starve them for good.
+      EXPECT_GE(worst.served, trouble.all ? 0.1 : 0.99) << trouble.what << ' ' << routers;
+    }
+}
+
+// One token a router is its part of many windows: they must not all have it in hand at once.
+TEST(SlowStart, WhatATierHasInHandAtOnceIsAFewWindowsBudget) {
+  for (int routers : {30, 300}) {
+    double rate = 10.0 / routers;  // of the tier 10 a second: 15 in a window
+    int in_hand = 0;
+    for (int r = 0; r < routers; ++r) {
+      limits::SlowStart tokens;
+      tokens.reset(0, (r + 0.5) / routers);
+      for (Micros now = kS; now <= 60 * kS; now += kS)  // asked for what nobody has
+        tokens.admits(now, rate, 1500 * kMs, 1000);
+      in_hand += tokens.admits(61 * kS, rate, 1500 * kMs, 1);
+    }
+    EXPECT_LE(in_hand, 3 * 15 + 5 * std::sqrt(45)) << routers;
+  }
+}
+
+// Over a long time each router gets its rate, whatever its requests cost: a little less where they
+// are so small that a token comes before the last one is used up.
+TEST(SlowStart, TokensAreNeitherLostNorMadeWhileTheyAreWanted) {
+  for (double cost : {0.25, 1.0, 4.0})
+    for (double rate : {0.05, 0.5, 5.0}) {
+      limits::SlowStart tokens;
+      tokens.reset(0, 0.5);
+      double sent = 0;
+      for (Micros now = 0; now < 40000 * kS; now += 100 * kMs)
+        for (int tries = 0; tries < 4 && tokens.admits(now, rate, 1500 * kMs, cost); ++tries)
+          tokens.sent(cost), sent += cost;
+      EXPECT_GT(sent / (40000 * rate), 0.8) << cost << ' ' << rate;
+      EXPECT_LT(sent / (40000 * rate), 1.1) << cost << ' ' << rate;
+    }
+}
+
+}  // namespace
+}  // namespace robinseam
