--- a/src/membership/watching.cpp
+++ b/src/membership/watching.cpp
@@ -41,7 +41,8 @@
 // What an answer itself is presumed to need: the last try before a due begins so much earlier.
 constexpr Micros kAnswer = 600 * kMilli;
 // Parts of what is left until the due: as long a pause leaves room for three more tries.
-constexpr Micros kLeastPause = 100 * kMilli, kPushedPause = 50 * kMilli;
+// But not so short that a tier whose dues pass together, as discovery is down, storms it.
+constexpr Micros kLeastPause = kSign, kPushedPause = 50 * kMilli;
 constexpr int kDoublings = 3;  // of pauses, while no due presses
 // However long calls have failed: whenever discovery is back, one call that is turned away still
 // and one that is answered fit into kTold. Where the tier's calls take discovery longer than that,
