--- a/src/tier/checker.cpp
+++ b/src/tier/checker.cpp
@@ -14,6 +14,8 @@
 
 constexpr Micros kBefore = 10 * kSecond;  // what service is held against
 constexpr Micros kOver = 2 * kSecond;     // service is full again over so long
+// A change counts as told so long after discovery had it and could be reached.
+constexpr Micros kTold = 6 * kSecond;
 constexpr Micros kStep = 100 * kMillisecond;
 constexpr double kAsBefore = 0.98, kMoreLate = 0.05;
 
@@ -245,7 +247,9 @@
           static_cast<double>(lost + wrong + open)};
 }
 
-/// Rule 3, by router: told is what discovery has written to it, or deemed told.
+/// Rule 3, by router: told is what discovery has written to it, or deemed told: 6 s after discovery
+/// had it and could be reached, whatever became of calls, and what a silent watch misses at its
+/// time.
 Verdict Checker::drains() const {
   struct Change {
     std::int64_t version;
@@ -255,6 +259,8 @@
   std::map<std::pair<int, int>, Micros> told;        // router, cache
   std::unordered_map<std::uint64_t, int> router_of;  // by try
   std::map<int, Micros> muted;                       // router: what it misses counts then
+  // Since when discovery can be reached, by router and (-1) by any; -1: it can't.
+  std::map<int, Micros> reach;
   int broken = 0;
   Micros limit = figures_.drain_grace + scenario_.slack;
   std::string first;
@@ -268,6 +274,7 @@
         leaving.try_emplace(e.cache, Change{e.value, e.at});
       }
     }
+    if (e.what == What::Reach) reach[e.router] = e.flag ? e.at : -1;
     if (e.what == What::Muted) muted.try_emplace(e.router, e.value);
     // Any answer tells what was missed; a process that starts begins anew.
     if ((e.what == What::Told && e.value > 0) || e.what == What::Started) muted.erase(e.router);
@@ -281,8 +288,18 @@
     auto change = leaving.find(e.cache);
     auto who = router_of.find(e.id);
     if (change == leaving.end() || who == router_of.end()) continue;
-    if (auto missed = muted.find(who->second); missed != muted.end() && e.at >= missed->second)
-      told.try_emplace({who->second, e.cache}, std::max(missed->second, change->second.at));
+    auto missed = muted.find(who->second);
+    auto since = [&](int router) {
+      auto at = reach.find(router);
+      return at == reach.end() ? 0 : at->second;
+    };
+    Micros here = since(who->second), any = since(-1);
+    Micros counts = std::max({change->second.at, here, any}) + kTold;
+    if (missed != muted.end())
+      counts = std::max(missed->second, change->second.at);
+    else if (here < 0 || any < 0)
+      counts = e.at;  // not yet
+    if (e.at > counts) told.try_emplace({who->second, e.cache}, counts);
     auto known = told.find({who->second, e.cache});
     if (known == told.end() || e.at - known->second <= limit) continue;
     if (broken++ == 0)
--- a/src/tier/stage.cpp
+++ b/src/tier/stage.cpp
@@ -216,6 +216,8 @@
     discovery_.mute_watches();
   } else if (auto fault = discovery_faults().find(a.discovery); fault != discovery_faults().end()) {
     discovery_.set_fault(fault->second);
+    note_reach(-1, fault->second == rig::DiscoveryFault::None ||
+                       fault->second == rig::DiscoveryFault::Slow);
   }
 }
 
@@ -404,10 +406,18 @@
   std::push_heap(due_.begin(), due_.end(), std::greater<>());
 }
 
+void Stage::note_reach(int router, bool reachable) {
+  account_.note(
+      {.what = What::Reach, .router = static_cast<std::int16_t>(router), .flag = reachable});
+}
+
 void Stage::set_links(const Action& a, const LinkFault& fault) {
   for (int r : a.routers) {
     Router& router = routers_[static_cast<std::size_t>(r)];
-    if (a.way == Action::Way::RoutersToDiscovery) router.to_discovery->set(fault);
+    if (a.way == Action::Way::RoutersToDiscovery) {
+      router.to_discovery->set(fault);
+      note_reach(r, fault.kind == LinkFault::Kind::None || fault.kind == LinkFault::Kind::Delay);
+    }
     if (a.way == Action::Way::TillsToRouters) router.from_tills->set(fault);
     if (a.way != Action::Way::RoutersToCaches) continue;
     for (auto& [cache, link] : router.to_caches)
@@ -461,6 +471,7 @@
       set_discovery(a);
       if (a.lasts > 0)
         in(a.lasts, [this] {
+          note_reach(-1, true);
           discovery_.set_fault(rig::DiscoveryFault::None);
           discovery_.set_capacity(s_.discovery_work, s_.discovery_wait);
         });
--- a/src/tier/stage.hpp
+++ b/src/tier/stage.hpp
@@ -78,6 +78,7 @@
   void resume(Router& router);
   void upgrade(Router& router);
   void finish_upgrade(Router& router, int tries);
+  void note_reach(int router, bool reachable);
   void set_links(const Action& action, const LinkFault& fault);
   void set_cache(int index, const Action& action);
   void restore_cache(int index, Action::Cache state);
--- a/tests/tier/checker_test.cpp
+++ b/tests/tier/checker_test.cpp
@@ -97,6 +97,21 @@
       {"sent within the grace", leaves(kSecond).begun(1400 * kMs, 1, 0), 2, true},
       {"sent after it", leaves(kSecond).begun(1600 * kMs, 1, 0), 2, false},
       {"sent by one who was not told", leaves(kSecond).begun(1600 * kMs, 1, 1), 2, true},
+      {"not told, 6 s after discovery had it", leaves(-1).begun(6600 * kMs, 1, 0), 2, false},
+      {"not told, nor counts it yet", leaves(-1).begun(6400 * kMs, 1, 0), 2, true},
+      {"discovery can't be reached",
+       leaves(-1).note(kMs, {.what = What::Reach}).begun(20 * kSecond, 1, 0), 2, true},
+      {"6 s after it is back",
+       leaves(-1)
+           .note(kMs, {.what = What::Reach})
+           .note(9 * kSecond, {.what = What::Reach, .flag = true})
+           .begun(15'600 * kMs, 1, 0),
+       2, false},
+      {"its own way to it is cut",
+       leaves(-1).note(kMs, {.what = What::Reach, .router = 0}).begun(20 * kSecond, 1, 0), 2, true},
+      {"another's is",
+       leaves(-1).note(kMs, {.what = What::Reach, .router = 1}).begun(20 * kSecond, 1, 0), 2,
+       false},
       {"told to a process that is gone",
        leaves(0).note(kSecond, {.what = What::Started, .router = 0}).begun(2 * kSecond, 1, 0), 2,
        true},
