Discovery: no pause between an answer and its watch; what waits in a queue is not pressed

Change: the watch comes at once again. Calls turned away after they had waited are made again at the tier's pace and not pressed towards a due, unless a watch may be silent.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,5 +1,8 @@
 #include "serve.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 
@@ -11,6 +14,24 @@
   return 1;
 }
 
+/// The process's own limit of descriptors may be lower than the configuration's. Shared out by the
+/// larger one, idle clients would fill the table to the last descriptor, and the call that finds
+/// discovery again would get none.
+Config within_limits(Config config) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= config.sockets) return config;
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, config.sockets);
+  if (::setrlimit(RLIMIT_NOFILE, &limit) != 0) ::getrlimit(RLIMIT_NOFILE, &limit);
+  if (limit.rlim_cur >= config.sockets) return config;
+  if (limit.rlim_cur < kFewestSockets)
+    throw ConfigError("limits.sockets: the process may have " + std::to_string(limit.rlim_cur) +
+                      " descriptors, under " + std::to_string(kFewestSockets));
+  complain("limits.sockets: " + std::to_string(limit.rlim_cur) + " for " +
+           std::to_string(config.sockets) + ": the process may have no more");
+  config.sockets = static_cast<std::size_t>(limit.rlim_cur);
+  return config;
+}
+
 struct Served {
   Router& router;
   const std::function<Config()>& load;
@@ -19,7 +40,7 @@
 /// SIGHUP. A file that can't be used, half-written or gone, leaves everything as it is.
 void reload(Served& served) {
   try {
-    served.router.reload(served.load());
+    served.router.reload(within_limits(served.load()));
   } catch (const std::exception& e) {
     served.router.note_failed_reload();
     complain(std::string("reload: old configuration kept: ") + e.what());
@@ -32,7 +53,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to reload
   try {
-    Config config = load();
+    Config config = within_limits(load());
     if (!parse_address(config.discovery))
       return complain("discovery: no address: '" + config.discovery + "'");
     std::unique_ptr<event_config, void (*)(event_config*)> options(event_config_new(),
--- a/src/membership/watching.cpp
+++ b/src/membership/watching.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace robinseam::membership {
 namespace {
@@ -35,9 +34,6 @@
 constexpr Micros kPushedHeardWithin = 250 * kMilli;
 // Once silent calls are known, a sign of life is asked for this often.
 constexpr Micros kSign = 400 * kMilli;
-// After failed calls, how long a router that has the list leaves discovery to those that don't yet
-// before it begins its watch.
-constexpr Micros kMostUnwatched = 4 * kSecond;
 // What an answer itself is presumed to need: the last try before a due begins so much earlier.
 constexpr Micros kAnswer = 600 * kMilli;
 // Parts of what is left until the due: as long a pause leaves room for three more tries.
@@ -96,7 +92,11 @@
     // Where less is left, half of it: one more call has to fit in behind. But what discovery still
     // has in its queue costs it as much again when it is called beside, and the more the larger the
     // tier is.
-    Micros least = std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
+    // Beside a watch that may be silent there is nothing else to hope for.
+    bool beside = false;
+    for (std::size_t k = 0; k < calls_.size(); ++k) beside |= k != slot && calls_[k].out;
+    Micros least =
+        beside ? kSign : std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
     Micros due = due_of(now, 0);
     if (due_ != kNever) due = std::min(due, due_);
     if (due > now) heard = std::min(heard, std::max(least, (due - now) / 2));
@@ -131,23 +131,20 @@
   one.out = false;
   if (was.wait == 0) stretch(now - was.begun > kSlowAnswer ? kStretchSlow : kUnstretch);
   drop_before(was.begun);
-  bool back = std::exchange(failures_, 0) > 0;
+  failures_ = 0;
   answered_at_ = now;
   due_ = kNever;
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
   // A watch with gaps is a new one.
   bool early = was.wait > 0 && !news && now - was.begun < was.wait / 2;
-  next_ = now;
-  if (early) next_ += static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance));
-  // Others still wait for their first answer: watches come behind those.
-  if (back && !pushed_)
-    next_ += static_cast<Micros>(std::min<double>(2 * tier_calls(), kMostUnwatched) *
-                                 between(0.5, 1, chance));
+  // At once in any case: what changes within 200 ms of an answer counts as told, as if the watch
+  // went on, so that a pause here to let others go first would be one in which drains are missed.
+  next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
   next_watches_ = true;
 }
 
-Micros Watching::pause(Micros now, double chance) {
+Micros Watching::pause(Micros now, bool queued, double chance) {
   ++failures_;
   if (pushed_)
     return static_cast<Micros>(kPushedPause * std::min(failures_, 5) * between(0.5, 1.5, chance));
@@ -156,7 +153,7 @@
   double most = std::max<double>(kSign, tier_calls()) * (1 << std::min(failures_ - 1, kDoublings));
   most = std::min<double>(most, kMostPause);
   double left = due_ == kNever ? most : static_cast<double>(due_ - now - kAnswer) / 3;
-  if (due_ != kNever && now > due_) left = most;
+  if (queued || (due_ != kNever && now > due_)) left = most;
   double least = std::min(std::max<double>(kLeastPause, tier_calls() / 10), most);
   double span = std::clamp(left, least, most);
   return static_cast<Micros>(span * between(0.5, 1, chance));
@@ -168,15 +165,6 @@
   One was = one;
   one.out = false;
   if (fault == Fault::Refused) stretch(kStretchRefused);
-  // A watch that was up has told all until it ended, unless it had fallen silent before. One that
-  // ended at once may have missed what came right behind the last answer, and a call for the list
-  // of now what was there when it began.
-  Micros from = was.wait == 0                    ? was.begun
-                : now - was.begun > kHeardWithin ? now
-                : answered_at_ == kNever         ? was.begun
-                                                 : answered_at_;
-  owe(fault == Fault::Spoilt ? now + kSpoiltTold
-                             : std::min(due_of(was.begun, was.wait), from + kTold));
   bool others = false;
   for (const One& other : calls_) {
     if (!other.out) continue;
@@ -184,8 +172,24 @@
     // It may be silent: one that this call was to find out about.
     if (other.begun < was.begun) owe(due_of(other.begun, other.wait));
   }
+  // A watch that was up has told all until it ended, unless it had fallen silent before. One that
+  // ended at once may have missed what came right behind the last answer, and a call for the list
+  // of now what was there when it began; unless another is out, which brings it or is owed for.
+  Micros from = was.wait == 0                    ? was.begun
+                : now - was.begun > kHeardWithin ? now
+                : answered_at_ == kNever         ? was.begun
+                                                 : answered_at_;
+  if (fault == Fault::Spoilt)
+    owe(now + kSpoiltTold);
+  else if (!others)
+    owe(std::min(due_of(was.begun, was.wait), from + kTold));
+  else if (fault == Fault::TimedOut)
+    owe(due_of(was.begun, was.wait));
   // The later call that is out has its own time; this one is made again before that.
-  Micros again = now + pause(now, chance);
+  // Turned away after it had waited: discovery lives and has too many callers. Whoever presses it
+  // then only takes the turn of one whose watch may be silent.
+  bool queued = !others && fault == Fault::Refused && now - was.begun > kSlowAnswer;
+  Micros again = now + pause(now, queued, chance);
   next_ = next_ == kNever ? again : std::min(next_, again);
   next_watches_ = false;
   return !pushed_ && !others;
--- a/src/membership/watching.hpp
+++ b/src/membership/watching.hpp
@@ -82,7 +82,7 @@
   void stretch(double by);
   void drop_before(Micros begun);
   /// Until the next call after one that failed.
-  Micros pause(Micros now, double chance);
+  Micros pause(Micros now, bool queued, double chance);
   double tier_calls() const;
 
   int routers_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -370,7 +370,8 @@
   }
   if (auto every = json.find("log_every_ms"); every != json.end())
     c.log_every = log_every_of(scalar_text(*every));
-  if (sockets < 64) throw ConfigError("limits.sockets: under 64");
+  if (sockets < kFewestSockets)
+    throw ConfigError("limits.sockets: under " + std::to_string(kFewestSockets));
   c.memory_bytes = static_cast<std::size_t>(std::min(memory_mb, 1e6) * 1048576);
   c.sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
   if (auto known = json.find("known"); known != json.end() && !known->is_null()) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -12,6 +12,9 @@
 
 namespace arrowfork {
 
+/// Descriptors that a router needs at least.
+constexpr std::size_t kFewestSockets = 64;
+
 /// A configuration that can't be used; what() names the setting.
 struct ConfigError : std::runtime_error {
   using std::runtime_error::runtime_error;
