--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -22,7 +22,7 @@
   void on_call_failed() override { ++calls_failed; }
   void on_hosts_failed() override { ++failed; }
   /// The path that was asked for.
-  std::string ask(const std::string& response) {
+  std::string ask(const std::string& response, bool reset = false) {
     std::string path;
     std::thread answerer([&] {
       Link call = peer.accept();
@@ -30,6 +30,7 @@
       for (std::string header = call.line(); header.size() > 2;) header = call.line();
       // The router may end the connection before an answer without end is through.
       ::send(call.fd(), response.data(), response.size(), MSG_NOSIGNAL);
+      if (reset) call.send_reset();
     });
     auto ended = [this] { return taken.size() + discovery.counts().failed; };
     std::size_t before = ended();
@@ -91,6 +92,20 @@
   }
 }
 
+// Without a length the end of the connection tells the answer's; a reset is no end, also where all
+// of a list has come before it.
+TEST(DiscoveryAnswers, OneWithoutALengthIsWholeAtTheEndAndNotAtAReset) {
+  for (bool reset : {false, true}) {
+    Asked asked(parse_host_list(list_json(4, true, {host_json("s-1", "127.0.0.1:1")})));
+    asked.ask("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" +
+                  list_json(5, true, {host_json("s-2", "127.0.0.1:2")}),
+              reset);
+    EXPECT_EQ(asked.taken.size(), reset ? 0u : 1u);
+    EXPECT_EQ(asked.discovery.counts().failed, reset ? 1u : 0u);
+    EXPECT_TRUE(asked.planned);
+  }
+}
+
 // As large as any tier (issue 43), indented, with long names, changed whole each time.
 TEST(DiscoveryAnswers, IndentedListsOf1024And1025ServersWithLongNamesAreTaken) {
   for (std::size_t servers : {1024u, 1025u}) {
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -79,6 +79,12 @@
     run_until([&] { return side.connections() > before; });
     return link;
   }
+  /// A round trip, after which the client has asked and stands idle.
+  void greet(Link& link) {
+    link.write("mn\r\n");
+    run();
+    EXPECT_EQ(link.line(), "MN\r\n");
+  }
   /// Answers the attempt of that number, counted from 0.
   void serve(std::size_t number, const std::string& value) {
     AttemptResult result;
@@ -133,9 +139,7 @@
     Clients clients;
     Link link = clients.connect();
     if (c.asked) {
-      link.write("mn\r\n");
-      clients.run();
-      EXPECT_EQ(link.line(), "MN\r\n") << c.what;
+      clients.greet(link);
     }
     if (c.away) clients.side.send_away(true);
     clients.before_sweep([&] {
@@ -156,9 +160,7 @@
     Clients clients(limits);
     Link link = clients.connect();
     if (asked) {
-      link.write("mn\r\n");
-      clients.run();
-      EXPECT_EQ(link.line(), "MN\r\n");
+      clients.greet(link);
     }
     clients.clock.at += kSecond;
     Link other;
@@ -181,9 +183,7 @@
   Clients clients(limits);
   Link first = clients.connect(), second = clients.connect();
   for (Link* link : {&first, &second}) {
-    link->write("mn\r\n");
-    clients.run();
-    EXPECT_EQ(link->line(), "MN\r\n");
+    clients.greet(*link);
     clients.clock.at += kSecond;
   }
   Link third = Link::to(clients.side.port());
@@ -217,9 +217,7 @@
 TEST(Endings, WhatComesBehindTheShutdownIsReadAndDropped) {
   Clients clients;
   Link link = clients.connect();
-  link.write("mn\r\n");
-  clients.run();
-  EXPECT_EQ(link.line(), "MN\r\n");
+  clients.greet(link);
   clients.side.drain();
   clients.run();
   EXPECT_TRUE(link.ends());
