Endings: what lingers over half a command makes way as any other that lingers

Cause: make_room looked at idle connections alone, and since one whose command did not come in time is shut down and lingers, not idle in its half command: for 0.5 s it kept its place from new clients. Change: lingering ones count, whatever came on them. Test: fails without.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -542,7 +542,7 @@
   enum { kLingering, kSilent, kIdle, kKinds };
   std::array<ClientConnection*, kKinds> oldest{};
   for (auto& c : connections_) {
-    if (!c->idle()) continue;
+    if (!c->idle() && !c->lingering_) continue;  // also one that ended in half a command
     ClientConnection*& best = oldest[c->lingering_ ? kLingering : c->asked_ ? kIdle : kSilent];
     if (!best || c->since_ < best->since_) best = c.get();
   }
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -194,6 +194,24 @@
   EXPECT_EQ(clients.side.connections(), 2u);
 }
 
+// What lingers makes way, also where half a command was all that it said.
+TEST(Endings, AConnectionThatLingersOverHalfACommandMakesWay) {
+  ClientSide::Limits limits;
+  limits.connections = 1, limits.spare_connections = 0;
+  Clients clients(limits);
+  Link half = clients.connect();
+  half.write("mg ke");
+  clients.run();
+  clients.before_sweep([&] { clients.clock.at += 3 * kSecond; });
+  EXPECT_TRUE(half.ends());
+  clients.clock.at += 200 * kMillisecond;
+  Link other = Link::to(clients.side.port());
+  other.write("mn\r\n");
+  clients.run_until([&] { return !other.silent(0); });
+  EXPECT_EQ(other.line(), "MN\r\n");
+  EXPECT_EQ(clients.side.connections(), 1u);
+}
+
 // Clients are being sent away, the answer goes out, and the next request lies there already.
 TEST(Endings, ARequestBehindAnAnswerIsReadBeforeTheConnectionIsEnded) {
   Clients clients;
