Discovery: calls and answers decided by a state machine without I/O, list_subscription

Cause: what becomes of overlapping calls, moves to another address and refused answers was decided inside the libevent shell, so that no test could run it in virtual time. Change: src/membership/list_subscription decides, src/net/discovery carries calls and timers; fetch() asks for the whole list by the same calls. No other change of behaviour.

--- /dev/null
+++ b/src/membership/list_subscription.hpp
@@ -0,0 +1,127 @@
+// Keeps the list of servers current: which calls are made on which discovery address, which of
+// their answers change the list, and when the next call is due. Pure: answers and times come in,
+// calls to make and lists to apply go out, so that it runs in virtual time under test.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "list_guard.hpp"
+#include "watching.hpp"
+
+namespace arrowfork {
+
+/// One HTTP call on discovery that the transport has to make.
+struct ListCall {
+  int id = 0;  ///< new with every call of a subscription
+  std::string address;
+  std::string path;
+  robinseam::Micros limit = 0;  ///< given up after this time
+};
+
+/// How a call ended.
+struct ListResult {
+  std::optional<HostList> list;  ///< none: the call failed, as `fault` has it
+  robinseam::membership::Fault fault = robinseam::membership::Fault::Refused;
+};
+
+/// Makes the calls of a subscription. Each call that is started ends in one
+/// ListSubscription::ended(), unless it is cancelled before.
+class ListTransport {
+ public:
+  virtual ~ListTransport() = default;
+  virtual void start(const ListCall& call) = 0;
+  virtual void cancel(int id) = 0;
+};
+
+class ListSubscription {
+ public:
+  using Micros = robinseam::Micros;
+  using Watching = robinseam::membership::Watching;
+
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void on_hosts(HostList&& list) = 0;
+    /// Any call; the next one may be under way already.
+    virtual void on_call_failed() = 0;
+    /// None is out: the next one is planned, and the handler may call sooner.
+    virtual void on_hosts_failed() = 0;
+    /// An answer that was readable may not change the list; the reason, for the log.
+    virtual void on_refused(const std::string& reason) = 0;
+  };
+
+  struct Options {
+    int routers = 1;         ///< of the tier
+    bool pushed = false;     ///< lists come from an agent on the own machine
+    std::uint64_t seed = 0;  ///< of the jitter
+  };
+
+  /// `known`: the list that is held at `now`.
+  ListSubscription(const std::string& address, const HostList& known, const Options& options,
+                   Micros now, ListTransport& transport, Handler& handler);
+
+  /// Begins a watch, beside calls of which nothing has come yet.
+  void watch(Micros now);
+  /// Asks for changes anew at a random time within `span`, since what is held may be from before.
+  void look_again(Micros now, Micros span);
+  /// Asks for the whole list.
+  void fetch(Micros now);
+  /// Goes over to another address without a gap: what is out at the old one stays until the new one
+  /// has given its whole list, and what it still brings counts.
+  void move_to(const std::string& address, Micros now);
+  /// Cancels all calls and plans no more.
+  void stop();
+
+  /// The transport's word on a call.
+  void ended(int id, ListResult result, Micros now);
+  /// When advance() has to be called; Watching::kNever: there is nothing to wait for.
+  Micros next() const;
+  void advance(Micros now);
+
+  /// The next call is planned, whether one is out or not.
+  bool planned() const { return watching_.next() != Watching::kNever; }
+  /// Something that discovery had to tell may count as told by now and has not been heard.
+  bool overdue(Micros now) const { return watching_.overdue(now); }
+  /// The version of the list that is held; empty before the first.
+  const std::string& version() const { return guard_.version(); }
+
+ private:
+  static constexpr int kNone = -1;
+  /// A call that is out at the address that was left.
+  struct Former {
+    int id = kNone;
+    ListGuard guard;
+  };
+
+  void call(const Watching::Call& call);
+  void take(std::size_t slot, ListResult result, Micros now);
+  void take_former(ListResult result, Micros now);
+  /// Whether the answer may change the list; says so where not.
+  bool may_count(ListGuard& guard, const std::optional<HostList>& list);
+  void cancel_slot(std::size_t slot);
+  void cancel_former();
+  /// Cancels the calls that are not waited for any more.
+  void follow();
+  double chance() { return std::uniform_real_distribution<>()(random_); }
+
+  ListTransport& transport_;
+  Handler& handler_;
+  std::string address_;
+  ListGuard guard_;
+  Watching watching_;
+  /// By slot of `watching_`: the call that is out there.
+  std::array<int, Watching::kSlots> ids_;
+  std::array<Micros, Watching::kSlots> limits_{};
+  std::optional<Former> former_;
+  bool ask_whole_ = false;  // what is held may not be what discovery thinks it is
+  int last_id_ = kNone;
+  Micros look_at_ = Watching::kNever;
+  std::minstd_rand random_;
+};
+
+}  // namespace arrowfork
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -9,40 +9,20 @@
 namespace arrowfork {
 namespace {
 
-const char* const kPath = "/discovery/hosts";
-// A call that is answered at once.
-constexpr int kShortWaitMs = 1;
-// A call that is not answered this long after its wait has failed: discovery answers or fails what
-// it can't do within seconds, so silence means that it can't be reached.
-constexpr Micros kCallTime = 4 * kSecond;
 // An answer that has begun is whole this soon, or will not be: a list is written at once, and of a
 // watch that stops short in it the change counts as told 6 s later, whatever its wait (seen:
 // calm+disco+brink+mass 10, an answer that stopped at 3.25 s, drains broken from 10.13 s on).
 constexpr Micros kAnswerTime = 1500 * kMillisecond;
-// What discovery has to tell counts as told so long after a configuration that names another
-// address.
-constexpr Micros kMoveWithin = 4 * kSecond;
 // A sixteenth of the smallest deployment's 32 MB: as JSON in memory a list takes several times its
 // text. 1,024 servers with ids and addresses of 250 characters, indented, are 0.8 MB; of usual
 // length 0.3 MB.
 constexpr ev_ssize_t kMaxBody = 2 << 20;
 constexpr ev_ssize_t kMaxHeaders = 16 << 10;
 
-std::string escaped(const std::string& text) {
-  char* encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
-  std::string result = encoded ? encoded : "";
-  ::free(encoded);
-  return result;
-}
-
 }  // namespace
 
-DiscoveryCall::DiscoveryCall(event_base* base, const std::string& address, Counts& counts,
-                             Done done)
-    : base_(base), authority_(address), counts_(counts), done_(std::move(done)) {
-  std::size_t colon = address.rfind(':');
-  host_ = address.substr(0, colon);
-  if (auto parsed = parse_address(address)) port_ = ntohs(parsed->sin_port);
+DiscoveryCall::DiscoveryCall(event_base* base, Counts& counts, Done done)
+    : base_(base), counts_(counts), done_(std::move(done)) {
   ready_.reset(event_new(base, -1, 0, on_ready, this));
 }
 
@@ -55,12 +35,17 @@
   event_del(ready_.get());
 }
 
-void DiscoveryCall::start(const std::string& path, Micros limit) {
+void DiscoveryCall::start(const ListCall& call) {
   stop();
+  id_ = call.id;
+  authority_ = call.address;
+  const std::string host = call.address.substr(0, call.address.rfind(':'));
+  auto parsed = parse_address(call.address);
+  std::uint16_t port = parsed ? ntohs(parsed->sin_port) : 0;
   fault_ = Fault::Refused;
   begun_ = false;
   ++counts_.calls;
-  connection_.reset(evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_));
+  connection_.reset(evhttp_connection_base_new(base_, nullptr, host.c_str(), port));
   evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
   request_ = request;
   if (!request) {
@@ -70,16 +55,16 @@
   evhttp_request_set_error_cb(request, on_error);
   evhttp_connection_set_max_body_size(connection_.get(), kMaxBody);
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaders);
-  limit_ = limit;
+  limit_ = call.limit;
   evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection_.get())),
                   on_bytes, this);
   // For the whole call: evhttp's own time-outs begin again with every byte that trickles in.
-  timeval limit_tv = timeval_of(limit);
+  timeval limit_tv = timeval_of(call.limit);
   event_add(ready_.get(), &limit_tv);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", authority_.c_str());
   evhttp_add_header(headers, "Connection", "close");
-  if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
+  if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, call.path.c_str()) != 0)
     event_active(ready_.get(), 0, 0);
 }
 
@@ -138,169 +123,83 @@
   call->request_ = nullptr;
   std::optional<HostList> result = std::exchange(call->result_, std::nullopt);
   call->counts_.failed += !result;
-  call->done_(std::move(result));
+  call->done_(call->id_, {std::move(result), call->fault_});
 }
 
 Discovery::Discovery(event_base* base, const TimeSource& clock, const std::string& address,
-                     const HostList& known, int routers, bool pushed, std::uint64_t seed,
+                     const HostList& known, const ListSubscription::Options& options,
                      Handler& handler)
-    : base_(base),
-      clock_(clock),
-      handler_(handler),
-      address_(address),
-      watching_(routers, pushed),
-      fetch_(fetch_at(address)),
-      random_(static_cast<std::minstd_rand::result_type>(seed)) {
-  again_.reset(event_new(base, -1, 0, on_again, this));
-  look_.reset(event_new(base, -1, 0, on_look, this));
-  for (std::size_t slot = 0; slot < calls_.size(); ++slot) calls_[slot] = watch_at(slot);
-  guard_.hold(known);
-  if (pushed)
-    watch();
-  else if (!known.hosts.empty())
-    watching_.hold(clock_.now());
-}
-
-Discovery::Call Discovery::watch_at(std::size_t slot) {
-  return std::make_unique<DiscoveryCall>(
-      base_, address_, counts_,
-      [this, slot](std::optional<HostList> list) { take(slot, std::move(list)); });
+    : base_(base), clock_(clock), handler_(handler) {
+  due_.reset(event_new(base, -1, 0, on_due, this));
+  subscription_ = std::make_unique<ListSubscription>(
+      address, known, options, clock_.now(), static_cast<ListTransport&>(*this),
+      static_cast<ListSubscription::Handler&>(*this));
+  arm();
 }
 
-Discovery::Call Discovery::fetch_at(const std::string& address) {
-  return std::make_unique<DiscoveryCall>(base_, address, counts_,
-                                         [this](std::optional<HostList> list) {
-                                           // A list made before changes that the watch has brought
-                                           // since is older than what is held.
-                                           if (list && list->whole && fetch_overlapped_) return;
-                                           if (!list || !list->whole || !may_count(guard_, list)) {
-                                             handler_.on_call_failed();
-                                             handler_.on_hosts_failed();
-                                             return;
-                                           }
-                                           handler_.on_hosts(std::move(*list));
-                                         });
-}
+Discovery::~Discovery() = default;
 
-/// The new service need not count versions as the old one did, so it is asked for its whole list.
-/// Calls that are out at the old address are not renewed: it takes no new ones.
 void Discovery::move_to(const std::string& address) {
-  if (!guard_.version().empty() ||
-      !old_watch_) {  // else it never answered, and the one before still may
-    // The watch that waits, or what was to tell whether that is still there.
-    std::size_t last = 0;
-    for (std::size_t slot = 0; slot < calls_.size(); ++slot)
-      if (calls_[slot]->out() &&
-          (!calls_[last]->out() || calls_[slot]->limit() > calls_[last]->limit()))
-        last = slot;
-    old_watch_ = std::move(calls_[last]);
-    old_guard_ = guard_;
-    old_watch_->hand_over([this](std::optional<HostList> list) { take_old(std::move(list)); });
-  }
-  address_ = address;
-  for (std::size_t slot = 0; slot < calls_.size(); ++slot) calls_[slot] = watch_at(slot);
-  fetch_ = fetch_at(address);
-  guard_.forget_version();
-  watching_.move(clock_.now(), kMoveWithin);
-  watch();
-}
-
-/// The last word of the old address. The list that the new one is making may be older than a change
-/// told here: it is asked anew.
-void Discovery::take_old(std::optional<HostList> list) {
-  if (!may_count(old_guard_, list) || (!list->whole && list->hosts.empty())) return;
-  if (guard_.version().empty()) {
-    watching_.drop();
-    watch();
-  }
-  handler_.on_hosts(std::move(*list));
+  subscription_->move_to(address, clock_.now());
+  arm();
 }
 
 void Discovery::watch() {
-  event_del(look_.get());
-  call(watching_.begin(clock_.now(), chance()));
+  subscription_->watch(clock_.now());
+  arm();
 }
 
 void Discovery::look_again(Micros span) {
-  timeval wait = timeval_of(static_cast<Micros>(chance() * static_cast<double>(span)));
-  event_add(look_.get(), &wait);
+  subscription_->look_again(clock_.now(), span);
+  arm();
 }
 
 void Discovery::fetch() {
-  fetch_overlapped_ = false;
-  fetch_->start(kPath, kCallTime);
+  subscription_->fetch(clock_.now());
+  arm();
 }
 
 void Discovery::stop() {
-  watching_.stop();
-  follow();
-  fetch_->stop();
-  old_watch_.reset();
-  event_del(look_.get());
-}
-
-void Discovery::call(const robinseam::membership::Watching::Call& call) {
-  DiscoveryCall& out = *calls_[static_cast<std::size_t>(call.slot)];
-  if (guard_.version().empty() || ask_whole_) {
-    out.start(kPath, kCallTime);
-  } else {
-    int wait = std::max(kShortWaitMs, static_cast<int>(call.wait / kMillisecond));
-    out.start(std::string(kPath) + "?index=" + escaped(guard_.version()) +
-                  "&wait=" + std::to_string(wait),
-              wait * kMillisecond + kCallTime);
+  subscription_->stop();
+  arm();
+}
+
+void Discovery::start(const ListCall& call) {
+  auto free =
+      std::find_if(calls_.begin(), calls_.end(), [](const auto& one) { return !one->out(); });
+  if (free == calls_.end()) {
+    auto done = [this](int id, ListResult result) {
+      subscription_->ended(id, std::move(result), clock_.now());
+      arm();
+    };
+    calls_.push_back(std::make_unique<DiscoveryCall>(base_, counts_, done));
+    free = calls_.end() - 1;
   }
-  follow();
+  (*free)->start(call);
 }
 
-void Discovery::follow() {
-  // Stopped and not freed, since one of them may be what tells of this.
-  for (int slot = 0; slot < static_cast<int>(calls_.size()); ++slot)
-    if (!watching_.out(slot)) calls_[static_cast<std::size_t>(slot)]->stop();
-  event_del(again_.get());
-  if (watching_.next() == robinseam::membership::Watching::kNever) return;
-  timeval wait = timeval_of(std::max<Micros>(0, watching_.next() - clock_.now()));
-  event_add(again_.get(), &wait);
+void Discovery::cancel(int id) {
+  for (auto& call : calls_)
+    if (call->out() && call->id() == id) call->stop();
 }
 
-bool Discovery::may_count(ListGuard& guard, const std::optional<HostList>& list) {
-  if (!list) return false;
-  std::string fault = guard.refuse(*list);
-  if (fault.empty()) return true;
+void Discovery::on_refused(const std::string& reason) {
   ++counts_.failed, ++counts_.bad;
-  std::fprintf(stderr, "arrowfork: discovery: the held list stays: %s\n", fault.c_str());
-  return false;
-}
-
-void Discovery::take(std::size_t slot, std::optional<HostList> list) {
-  bool counts = may_count(guard_, list);
-  if (list) ask_whole_ = !counts;
-  if (!counts) {
-    bool alone =
-        watching_.failed(clock_.now(), static_cast<int>(slot),
-                         list ? DiscoveryCall::Fault::Spoilt : calls_[slot]->fault(), chance());
-    follow();
-    handler_.on_call_failed();
-    if (alone) handler_.on_hosts_failed();
-    return;
-  }
-  old_watch_.reset();
-  bool news = list->whole || !list->hosts.empty();
-  if (news) fetch_overlapped_ = true;
-  watching_.answered(clock_.now(), static_cast<int>(slot), news, chance());
-  follow();
-  handler_.on_hosts(std::move(*list));
+  std::fprintf(stderr, "arrowfork: discovery: the held list stays: %s\n", reason.c_str());
 }
 
-void Discovery::on_again(evutil_socket_t, short, void* self) {
-  auto* d = static_cast<Discovery*>(self);
-  if (auto call = d->watching_.advance(d->clock_.now(), d->chance()))
-    d->call(*call);
-  else
-    d->follow();
+void Discovery::arm() {
+  event_del(due_.get());
+  Micros next = subscription_->next();
+  if (next == ListSubscription::Watching::kNever) return;
+  timeval wait = timeval_of(std::max<Micros>(0, next - clock_.now()));
+  event_add(due_.get(), &wait);
 }
 
-void Discovery::on_look(evutil_socket_t, short, void* self) {
-  static_cast<Discovery*>(self)->watch();
+void Discovery::on_due(evutil_socket_t, short, void* self) {
+  auto* discovery = static_cast<Discovery*>(self);
+  discovery->subscription_->advance(discovery->clock_.now());
+  discovery->arm();
 }
 
 }  // namespace arrowfork
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -108,8 +108,8 @@
       core_(make_core(config, clock, *this)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       clients_(base, clock_, core_, servers_, client_limits(config)),
-      discovery_(base, clock_, config.discovery, config.known, config.settings.routers,
-                 !config.settings.must_ask, config.seed, *this),
+      discovery_(base, clock_, config.discovery, config.known,
+                 {config.settings.routers, !config.settings.must_ask, config.seed}, *this),
       ban_file_(state_path(config, ".bans")),
       recovery_(config.settings.routers, clock.now(), kFresh),
       pulse_at_(clock.now()) {
