Drains: refused answers, moved addresses and old lists no more keep drained servers in use

ListGuard::refuse threw away whole answers, drains and all: an entry twice in a delta, a list that goes back or names nobody. Now what a refused answer says of servers that leave holds at once, the whole list is asked for within 10 ms and a part of the tier's calls, and a list that is repeated is taken. 2. Watching::move dropped what was owed and put the due 4 s after the last SIGHUP; Discovery::move_to dropped calls that were out at an address left unanswered. 4. Calls that a later answer had settled, and those at the old address, were closed at once: a drain written to them in that moment was told and lost. They are heard out for 2 s. 5. ask_whole_ was cleared by a change that does not say what became of the servers in the refused answer. 6.

Not yet: unit tests seen to fail one by one without each fix.

--- a/src/membership/list_guard.cpp
+++ b/src/membership/list_guard.cpp
@@ -7,6 +7,8 @@
 namespace arrowfork {
 namespace {
 
+using robinseam::Health;
+
 /// Whether `a` is a lower number than `b`. Versions that aren't both numbers tell nothing of order.
 bool before(const std::string& a, const std::string& b) {
   auto number = [](const std::string& text) {
@@ -21,22 +23,40 @@
   return x.size() != y.size() ? x.size() < y.size() : x < y;
 }
 
+/// What is wrong where a server is named twice.
+std::string twice_named(const HostList& list) {
+  std::unordered_set<std::string_view> ids;
+  for (const Host& h : list.hosts)
+    if (!ids.insert(h.server.id).second) return "hosts: " + h.server.id + " twice";
+  return {};
+}
+
 }  // namespace
 
 void ListGuard::hold(const HostList& list) {
   version_ = list.version;
   back_version_.clear(), back_ = 0;
-  bool named = std::any_of(list.hosts.begin(), list.hosts.end(), [](const Host& h) {
-    return h.server.health != robinseam::Health::Gone;
-  });
+  unlikely_ = 0;
+  bool named = std::any_of(list.hosts.begin(), list.hosts.end(),
+                           [](const Host& h) { return h.server.health != Health::Gone; });
   any_ = named || (any_ && !list.whole);
 }
 
+bool ListGuard::unnamed_have_left(const HostList& list) const {
+  bool lost_its_state = list.hosts.empty() && before(list.version, version_);
+  return list.whole && !lost_its_state;
+}
+
+bool ListGuard::newer(const HostList& list) const { return before(version_, list.version); }
+
 std::string ListGuard::refuse(const HostList& list) {
-  std::unordered_set<std::string_view> ids;
-  for (const Host& h : list.hosts)
-    if (!ids.insert(h.server.id).second) return "hosts: " + h.server.id + " twice";
-  if (list.whole && list.hosts.empty() && any_) return "a whole list that names no server";
+  std::string unlikely = twice_named(list);
+  if (unlikely.empty() && list.whole && list.hosts.empty() && any_)
+    unlikely = "a whole list that names no server";
+  if (!unlikely.empty()) {
+    unlikely_ = list.whole ? unlikely_ + 1 : 0;
+    if (unlikely_ < kMeant) return unlikely;
+  }
   if (before(list.version, version_)) {
     bool onward = list.whole && !before(list.version, back_version_);
     back_ = onward ? back_ + 1 : list.whole;
@@ -47,4 +67,38 @@
   return {};
 }
 
+void merge_entries(HostList& list) {
+  std::unordered_map<std::string, std::size_t> at;
+  std::vector<Host> merged;
+  for (Host& host : list.hosts) {
+    auto [entry, fresh] = at.emplace(host.server.id, merged.size());
+    if (fresh) {
+      merged.push_back(std::move(host));
+      continue;
+    }
+    Host& earlier = merged[entry->second];
+    Health left = std::max(earlier.server.health, host.server.health);
+    earlier = std::move(host);
+    earlier.server.health = left;
+  }
+  list.hosts = std::move(merged);
+}
+
+HostList drains_in(const HostList& refused, bool unnamed_have_left,
+                   const std::unordered_map<std::string, Host>& held) {
+  std::unordered_set<std::string> named, leaving;
+  for (const Host& host : refused.hosts) {
+    named.insert(host.server.id);
+    if (host.server.health != Health::Ready) leaving.insert(host.server.id);
+  }
+  HostList drains;
+  for (const auto& [id, host] : held) {
+    bool leaves = leaving.count(id) || (unnamed_have_left && !named.count(id));
+    if (!leaves || host.server.health != Health::Ready) continue;
+    drains.hosts.push_back(host);
+    drains.hosts.back().server.health = Health::Draining;
+  }
+  return drains;
+}
+
 }  // namespace arrowfork
--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -46,7 +46,7 @@
     : transport_(transport),
       handler_(handler),
       address_(address),
-      watching_(options.routers, options.pushed),
+      watching_(options.routers, options.pushed, options.grace),
       random_(static_cast<std::minstd_rand::result_type>(options.seed)) {
   ids_.fill(kNone);
   guard_.hold(known);
@@ -58,7 +58,7 @@
 
 void ListSubscription::watch(Micros now) {
   look_at_ = Watching::kNever;
-  call(watching_.begin(now, chance()));
+  call(watching_.begin(now, chance()), now);
 }
 
 void ListSubscription::look_again(Micros now, Micros span) {
@@ -73,16 +73,13 @@
 /// The new service need not count versions as the old one did, so it is asked for its whole list.
 /// Calls that are out at the old address are not renewed: it takes no new ones.
 void ListSubscription::move_to(const std::string& address, Micros now) {
-  if (!guard_.version().empty() || !former_) {  // else it never answered, and the one before may
-    // The watch that waits, or what was to tell whether that is still there.
-    std::size_t last = 0;
-    for (std::size_t slot = 0; slot < ids_.size(); ++slot)
-      if (ids_[slot] != kNone && (ids_[last] == kNone || limits_[slot] > limits_[last]))
-        last = slot;
-    cancel_former();
-    former_ = Former{std::exchange(ids_[last], kNone), guard_};
-  }
-  for (std::size_t slot = 0; slot < ids_.size(); ++slot) cancel_slot(slot);
+  Former former;
+  former.guard = guard_;
+  for (int& id : ids_)
+    if (id != kNone) former.ids.push_back(std::exchange(id, kNone));
+  formers_.push_back(std::move(former));
+  formers_until_ = Watching::kNever;
+  if (formers_.size() > kMostFormers) cancel_former(0);
   address_ = address;
   guard_.forget_version();
   watching_.move(now, kMoveWithin);
@@ -92,11 +89,12 @@
 void ListSubscription::stop() {
   watching_.stop();
   look_at_ = Watching::kNever;
-  follow();
-  cancel_former();
+  for (std::size_t slot = 0; slot < ids_.size(); ++slot) cancel_slot(slot);
+  while (!lingering_.empty()) cancel_lingering();
+  cancel_formers();
 }
 
-void ListSubscription::call(const Watching::Call& call) {
+void ListSubscription::call(const Watching::Call& call, Micros now) {
   auto slot = static_cast<std::size_t>(call.slot);
   cancel_slot(slot);
   ListCall out;
@@ -109,9 +107,8 @@
     out.path += "?index=" + escaped(guard_.version()) + "&wait=" + std::to_string(wait);
     out.limit += wait * kMillisecond;
   }
-  limits_[slot] = out.limit;
   transport_.start(out);
-  follow();
+  follow(now);
 }
 
 void ListSubscription::cancel_slot(std::size_t slot) {
@@ -119,28 +116,59 @@
   if (id != kNone) transport_.cancel(id);
 }
 
-void ListSubscription::cancel_former() {
-  if (former_ && former_->id != kNone) transport_.cancel(former_->id);
-  former_.reset();
+void ListSubscription::cancel_former(std::size_t which) {
+  for (int id : formers_[which].ids) transport_.cancel(id);
+  formers_.erase(formers_.begin() + static_cast<std::ptrdiff_t>(which));
+}
+
+void ListSubscription::cancel_formers() {
+  while (!formers_.empty()) cancel_former(formers_.size() - 1);
+  formers_until_ = Watching::kNever;
+}
+
+void ListSubscription::linger(std::size_t slot, Micros now) {
+  int id = std::exchange(ids_[slot], kNone);
+  if (id == kNone) return;
+  if (lingering_.size() == kMostLingering) cancel_lingering();
+  lingering_.push_back({id, now + kLinger});
+}
+
+void ListSubscription::cancel_lingering() {
+  transport_.cancel(lingering_.front().id);
+  lingering_.erase(lingering_.begin());
+}
+
+void ListSubscription::end_lingering(Micros now) {
+  while (!lingering_.empty() && now >= lingering_.front().until) cancel_lingering();
+  if (formers_until_ != Watching::kNever && now >= formers_until_) cancel_formers();
 }
 
-void ListSubscription::follow() {
+void ListSubscription::follow(Micros now) {
   for (std::size_t slot = 0; slot < ids_.size(); ++slot)
-    if (!watching_.out(static_cast<int>(slot))) cancel_slot(slot);
+    if (!watching_.out(static_cast<int>(slot))) linger(slot, now);
 }
 
-bool ListSubscription::may_count(ListGuard& guard, const std::optional<HostList>& list) {
+bool ListSubscription::may_count(ListGuard& guard, std::optional<HostList>& list) {
   if (!list) return false;
+  bool unnamed_have_left = guard.unnamed_have_left(*list);
   std::string reason = guard.refuse(*list);
-  if (reason.empty()) return true;
+  if (reason.empty()) {
+    merge_entries(*list);
+    return true;
+  }
   handler_.on_refused(reason);
+  handler_.on_drains(*list, unnamed_have_left);
   return false;
 }
 
 void ListSubscription::ended(int id, ListResult result, Micros now) {
-  if (former_ && former_->id == id) {
-    former_->id = kNone;
-    take_former(std::move(result), now);
+  for (Former& former : formers_) {
+    if (std::erase(former.ids, id) == 0) continue;
+    take_former(former, std::move(result), now);
+    return;
+  }
+  if (std::erase_if(lingering_, [id](const Lingering& one) { return one.id == id; }) > 0) {
+    take_lingering(std::move(result));
     return;
   }
   auto at = std::find(ids_.begin(), ids_.end(), id);
@@ -149,49 +177,73 @@
   take(static_cast<std::size_t>(at - ids_.begin()), std::move(result), now);
 }
 
-/// The last word of the old address. The list that the new one is making may be older than a change
-/// told here: it is asked anew.
-void ListSubscription::take_former(ListResult result, Micros now) {
-  if (!may_count(former_->guard, result.list)) return;
-  if (!result.list->whole && result.list->hosts.empty()) return;
+/// The last word of an old address. The list that the new one is making may be older than a change
+/// told here: it is asked anew. Once the new one has answered, what it told is of now but for
+/// drains that crossed its answer.
+void ListSubscription::take_former(Former& former, ListResult result, Micros now) {
+  std::optional<HostList>& list = result.list;
+  if (!may_count(former.guard, list)) return;
+  if (!list->whole && list->hosts.empty()) return;
   if (guard_.version().empty()) {
     watching_.drop();
     watch(now);
+    handler_.on_hosts(std::move(*list));
+    return;
   }
-  handler_.on_hosts(std::move(*result.list));
+  handler_.on_drains(*list, false);
+  ask_whole_ = true;
+  watch(now);
+}
+
+/// Told in the moment in which a later call was answered: newer than that, or known.
+void ListSubscription::take_lingering(ListResult result) {
+  std::optional<HostList>& list = result.list;
+  if (!list || !guard_.newer(*list) || !may_count(guard_, list)) return;
+  handler_.on_hosts(std::move(*list));
 }
 
 void ListSubscription::take(std::size_t slot, ListResult result, Micros now) {
   std::optional<HostList>& list = result.list;
   bool counts = may_count(guard_, list);
-  if (list) ask_whole_ = !counts;
   if (!counts) {
-    Fault fault = list ? Fault::Spoilt : result.fault;
+    if (list) ask_whole_ = true;
+    Fault fault = list ? Fault::Unusable : result.fault;
     bool alone = watching_.failed(now, static_cast<int>(slot), fault, chance());
-    follow();
+    follow(now);
     handler_.on_call_failed();
     if (alone) handler_.on_hosts_failed();
     return;
   }
-  cancel_former();
+  // Only a whole list says what became of servers in an answer that was refused.
+  if (list->whole) ask_whole_ = false;
+  if (!formers_.empty() && formers_until_ == Watching::kNever) formers_until_ = now + kLinger;
   bool news = list->whole || !list->hosts.empty();
   watching_.answered(now, static_cast<int>(slot), news, chance());
-  follow();
+  // A whole list is answered at once and no watch, so its silence must be noticed as soon.
+  if (ask_whole_) watch(now);
+  follow(now);
   handler_.on_hosts(std::move(*list));
 }
 
 Micros ListSubscription::next() const {
-  Micros next = watching_.next();
-  if (look_at_ == Watching::kNever) return next;
-  return next == Watching::kNever ? look_at_ : std::min(next, look_at_);
+  Micros next = Watching::kNever;
+  auto at = [&next](Micros t) {
+    if (t != Watching::kNever && (next == Watching::kNever || t < next)) next = t;
+  };
+  at(watching_.next());
+  at(look_at_);
+  at(formers_until_);
+  if (!lingering_.empty()) at(lingering_.front().until);
+  return next;
 }
 
 void ListSubscription::advance(Micros now) {
+  end_lingering(now);
   if (look_at_ != Watching::kNever && now >= look_at_) {
     watch(now);
     return;
   }
-  if (auto due = watching_.advance(now, chance())) call(*due);
+  if (auto due = watching_.advance(now, chance())) call(*due, now);
 }
 
 }  // namespace arrowfork
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -51,14 +51,17 @@
     virtual void on_call_failed() = 0;
     /// None is out: the next one is planned, and the handler may call sooner.
     virtual void on_hosts_failed() = 0;
-    /// An answer that was readable may not change the list; the reason, for the log.
+    /// An answer that can be read may not change the list, for that reason.
     virtual void on_refused(const std::string& reason) = 0;
+    /// What such an answer says of servers that leave holds all the same; see drains_in().
+    virtual void on_drains(const HostList& list, bool unnamed_have_left) = 0;
   };
 
   struct Options {
-    int routers = 1;         ///< of the tier
-    bool pushed = false;     ///< lists come from an agent on the own machine
-    std::uint64_t seed = 0;  ///< of the jitter
+    int routers = 1;                       ///< of the tier
+    bool pushed = false;                   ///< lists come from an agent on the own machine
+    std::uint64_t seed = 0;                ///< of the jitter
+    Micros grace = Watching::kUsualGrace;  ///< of drains
   };
 
   /// `known`: the list that is held at `now`.
@@ -71,8 +74,8 @@
   void look_again(Micros now, Micros span);
   /// Asks for the whole list.
   void fetch(Micros now);
-  /// Goes over to another address without a gap: what is out at the old one stays until the new one
-  /// has given its whole list, and what it still brings counts.
+  /// Goes over to another address without a gap: what is out at those before stays until the new
+  /// one has given its whole list, and what they still bring counts.
   void move_to(const std::string& address, Micros now);
   /// Cancels all calls and plans no more.
   void stop();
@@ -92,21 +95,36 @@
 
  private:
   static constexpr int kNone = -1;
-  /// A call that is out at the address that was left.
+  /// An address that was left, and the calls that are out there.
   struct Former {
-    int id = kNone;
+    std::vector<int> ids;
     ListGuard guard;
   };
+  /// A call that is not waited for any more, since a later one was answered. What was written to it
+  /// in that moment counts as told, so it is heard out for a while.
+  struct Lingering {
+    int id = kNone;
+    Micros until = 0;
+  };
+  static constexpr Micros kLinger = 2'000'000;
+  static constexpr std::size_t kMostLingering = 4;
+  static constexpr std::size_t kMostFormers = 4;
 
-  void call(const Watching::Call& call);
+  void call(const Watching::Call& call, Micros now);
   void take(std::size_t slot, ListResult result, Micros now);
-  void take_former(ListResult result, Micros now);
+  void take_former(Former& former, ListResult result, Micros now);
+  void take_lingering(ListResult result);
   /// Whether the answer may change the list; says so where not.
-  bool may_count(ListGuard& guard, const std::optional<HostList>& list);
+  bool may_count(ListGuard& guard, std::optional<HostList>& list);
   void cancel_slot(std::size_t slot);
-  void cancel_former();
-  /// Cancels the calls that are not waited for any more.
-  void follow();
+  /// The call in the slot is out still and not waited for.
+  void linger(std::size_t slot, Micros now);
+  void cancel_lingering();
+  void end_lingering(Micros now);
+  void cancel_former(std::size_t which);
+  void cancel_formers();
+  /// Leaves the calls that are not waited for any more.
+  void follow(Micros now);
   double chance() { return std::uniform_real_distribution<>()(random_); }
 
   ListTransport& transport_;
@@ -116,9 +134,10 @@
   Watching watching_;
   /// By slot of `watching_`: the call that is out there.
   std::array<int, Watching::kSlots> ids_;
-  std::array<Micros, Watching::kSlots> limits_{};
-  std::optional<Former> former_;
-  bool ask_whole_ = false;  // what is held may not be what discovery thinks it is
+  std::vector<Former> formers_;              // the last one left last
+  Micros formers_until_ = Watching::kNever;  // once the new address has answered
+  std::vector<Lingering> lingering_;         // the oldest first
+  bool ask_whole_ = false;                   // what is held may not be what discovery thinks it is
   int last_id_ = kNone;
   Micros look_at_ = Watching::kNever;
   std::minstd_rand random_;
--- a/src/membership/watching.cpp
+++ b/src/membership/watching.cpp
@@ -26,12 +26,19 @@
 // this long. Twice as long is 56 s, of the 60 s that discovery takes.
 constexpr double kMostStretch = 2, kStretchRefused = 1.5, kStretchSlow = 1.25, kUnstretch = 0.8;
 constexpr Micros kSlowAnswer = 500 * kMilli;
-// An agent on the own machine: calls cost nothing.
-constexpr Micros kPushedWait = 2 * kSecond;
+// An agent on the own machine: calls cost nothing, and what it gets counts at once. It may have
+// fallen silent right after a call, so a watch there is no longer than what the grace leaves.
+constexpr Micros kLeastAgentWait = 100 * kMilli, kMostAgentWait = 2 * kSecond;
 // Discovery answers, or fails what it can't do in time, within 2 s: of what takes longer nothing
 // will be heard, and before that a second call would only lengthen its queue.
 constexpr Micros kHeardWithin = 2500 * kMilli;
-constexpr Micros kPushedHeardWithin = 250 * kMilli;
+// What an agent gets counts at once, so it is asked this many times within the grace; of that, what
+// a router may be held up for is kept free. The oldest call is not replaced before its time, so
+// that an agent that is only slow is heard.
+constexpr Micros kHeldUp = 150 * kMilli;
+constexpr Micros kLeastPeriod = 20 * kMilli, kMostPeriod = 250 * kMilli;
+constexpr int kCallsInGrace = 3;
+constexpr Micros kAgentPatience = kSecond;
 // Once silent calls are known, a sign of life is asked for this often.
 constexpr Micros kSign = 400 * kMilli;
 // What an answer itself is presumed to need: the last try before a due begins so much earlier.
@@ -40,6 +47,14 @@
 // But not so short that a tier whose dues pass together, as discovery is down, storms it.
 constexpr Micros kLeastPause = kSign, kPushedPause = 50 * kMilli;
 constexpr int kDoublings = 3;  // of pauses, while no due presses
+// A small tier's calls are no load even for a discovery that is down.
+constexpr Micros kMostPauseAlone = 2 * kSign;
+constexpr double kMostPauseTier = 4;  // of the tier's calls
+// After an answer that may not count the whole list is asked for within this part of the tier's
+// calls: what the answer held was told when it was written.
+constexpr double kAgainSpread = 0.25;
+constexpr Micros kLeastAgain = 10 * kMilli;
+constexpr int kQuickAgain = 3;  // in a row; then discovery has nothing better
 // However long calls have failed: whenever discovery is back, one call that is turned away still
 // and one that is answered fit into kTold. Where the tier's calls take discovery longer than that,
 // no pause could help (docs/design/membership.md has the sum).
@@ -63,30 +78,55 @@
 
 void Watching::owe(Micros due) { due_ = due_ == kNever ? due : std::min(due_, due); }
 
-Watching::Call Watching::make(Micros now, bool watches, double chance) {
-  // Beside what is out; where all slots are, in place of the oldest.
-  std::size_t slot = 0;
+void Watching::owe_calls() {
+  for (const One& one : calls_)
+    if (one.out) owe(due_of(one.begun, one.wait));
+}
+
+Micros Watching::hurry(Micros now) const {
+  if (!overdue(now)) return due_;
+  return now < moved_due_ ? moved_due_ : kNever;
+}
+
+Micros Watching::agent_period() const {
+  return std::clamp((grace_ - kHeldUp) / kCallsInGrace, kLeastPeriod, kMostPeriod);
+}
+
+Micros Watching::agent_wait() const {
+  return std::clamp(grace_ - kHeldUp - agent_period(), kLeastAgentWait, kMostAgentWait);
+}
+
+/// Beside what is out; where all slots are, in place of the oldest, or of the next where that is an
+/// agent's and may still be answered.
+std::size_t Watching::free_slot(Micros now) const {
+  std::array<std::size_t, kSlots> by_age{};
   for (std::size_t k = 0; k < calls_.size(); ++k) {
-    if (!calls_[k].out) {
-      slot = k;
-      break;
-    }
-    if (calls_[k].begun < calls_[slot].begun) slot = k;
+    if (!calls_[k].out) return k;
+    by_age[k] = k;
   }
+  std::sort(by_age.begin(), by_age.end(),
+            [this](std::size_t a, std::size_t b) { return calls_[a].begun < calls_[b].begun; });
+  const One& oldest = calls_[by_age[0]];
+  bool waits = pushed_ && now - oldest.begun - oldest.wait < kAgentPatience;
+  return by_age[waits ? 1 : 0];
+}
+
+Watching::Call Watching::make(Micros now, bool watches, double chance) {
+  std::size_t slot = free_slot(now);
   if (calls_[slot].out) owe(due_of(calls_[slot].begun, calls_[slot].wait));
   Micros wait = 0;
   if (watches)
-    wait = pushed_ ? kPushedWait
+    wait = pushed_ ? agent_wait()
                    : static_cast<Micros>(
                          stretch_ * between(kShortestWait, kLongestWait / kMostStretch, chance));
   calls_[slot] = {true, wait, now};
   Micros heard =
-      pushed_ ? kPushedHeardWithin
+      pushed_ ? agent_period()
               : static_cast<Micros>(static_cast<double>(kHeardWithin) * between(1, 1.2, chance));
   if (watches) {
     // Of the same chance's lower digits: 20 s and 28 s must not go with one lead each.
     double other = chance * 64 - std::floor(chance * 64);
-    heard = pushed_ ? wait + kPushedHeardWithin
+    heard = pushed_ ? wait + agent_period()
                     : wait - static_cast<Micros>(between(kLead, kMostLead, other));
   } else if (!pushed_) {
     // Where less is left, half of it: one more call has to fit in behind. But what discovery still
@@ -98,8 +138,8 @@
     Micros least =
         beside ? kSign : std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
     Micros due = due_of(now, 0);
-    if (due_ != kNever) due = std::min(due, due_);
-    if (due > now) heard = std::min(heard, std::max(least, (due - now) / 2));
+    if (hurry(now) != kNever) due = std::min(due, hurry(now));
+    heard = std::min(heard, std::max(least, (due - now) / 2));
   }
   next_ = now + heard;
   next_watches_ = false;
@@ -107,16 +147,17 @@
 }
 
 Watching::Call Watching::begin(Micros now, double chance) {
-  for (One& one : calls_)
-    if (one.out) owe(due_of(one.begun, one.wait));
+  owe_calls();
   return make(now, false, chance);
 }
 
 void Watching::hold(Micros now) { owe(now + kTold); }
 
 void Watching::move(Micros now, Micros within) {
-  stop();
-  owe(now + within);
+  drop();
+  failures_ = 0;
+  moved_due_ = now + within;
+  owe(moved_due_);
 }
 
 void Watching::drop_before(Micros begun) {
@@ -131,9 +172,9 @@
   one.out = false;
   if (was.wait == 0) stretch(now - was.begun > kSlowAnswer ? kStretchSlow : kUnstretch);
   drop_before(was.begun);
-  failures_ = 0;
+  failures_ = unusable_ = 0;
   answered_at_ = now;
-  due_ = kNever;
+  due_ = moved_due_ = kNever;
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
   // A watch with gaps is a new one.
@@ -146,14 +187,17 @@
 
 Micros Watching::pause(Micros now, bool queued, double chance) {
   ++failures_;
-  if (pushed_)
-    return static_cast<Micros>(kPushedPause * std::min(failures_, 5) * between(0.5, 1.5, chance));
+  if (pushed_) {
+    Micros span = std::min<Micros>(kPushedPause * std::min(failures_, 5), agent_period());
+    return static_cast<Micros>(static_cast<double>(span) * between(0.5, 1, chance));
+  }
   // As the tier's calls allow where there is time, sooner towards the due, and slower again once it
   // has passed: nobody is helped then by calls that discovery has to turn away.
   double most = std::max<double>(kSign, tier_calls()) * (1 << std::min(failures_ - 1, kDoublings));
+  most = std::min<double>(most, std::max<double>(kMostPauseAlone, kMostPauseTier * tier_calls()));
   most = std::min<double>(most, kMostPause);
-  double left = due_ == kNever ? most : static_cast<double>(due_ - now - kAnswer) / 3;
-  if (queued || (due_ != kNever && now > due_)) left = most;
+  Micros due = hurry(now);
+  double left = due == kNever || queued ? most : static_cast<double>(due - now - kAnswer) / 3;
   double least = std::min(std::max<double>(kLeastPause, tier_calls() / 10), most);
   double span = std::clamp(left, least, most);
   return static_cast<Micros>(span * between(0.5, 1, chance));
@@ -179,40 +223,42 @@
                 : now - was.begun > kHeardWithin ? now
                 : answered_at_ == kNever         ? was.begun
                                                  : answered_at_;
-  if (fault == Fault::Spoilt)
+  if (fault == Fault::Spoilt || fault == Fault::Unusable)
     owe(now + kSpoiltTold);
   else if (!others)
     owe(std::min(due_of(was.begun, was.wait), from + kTold));
   else if (fault == Fault::TimedOut)
     owe(due_of(was.begun, was.wait));
+  else  // what is out may be silent, and after a call that failed what it misses counts so soon
+    owe(now + kTold);
   // The later call that is out has its own time; this one is made again before that.
   // Turned away after it had waited: discovery lives and has too many callers. Whoever presses it
   // then only takes the turn of one whose watch may be silent.
   bool queued = !others && fault == Fault::Refused && now - was.begun > kSlowAnswer;
   Micros again = now + pause(now, queued, chance);
+  unusable_ = fault == Fault::Unusable ? unusable_ + 1 : 0;
+  if (unusable_ > 0 && unusable_ <= kQuickAgain)
+    again = now + kLeastAgain + static_cast<Micros>(kAgainSpread * tier_calls() * chance);
   next_ = next_ == kNever ? again : std::min(next_, again);
   next_watches_ = false;
   return !pushed_ && !others;
 }
 
 void Watching::drop() {
-  for (One& one : calls_) {
-    if (one.out) owe(due_of(one.begun, one.wait));
-    one.out = false;
-  }
+  owe_calls();
+  for (One& one : calls_) one.out = false;
   next_ = kNever;
 }
 
 void Watching::stop() {
   calls_ = {};
-  next_ = due_ = kNever;
+  next_ = due_ = moved_due_ = kNever;
   failures_ = 0;
 }
 
 std::optional<Watching::Call> Watching::advance(Micros now, double chance) {
   if (next_ == kNever || now < next_) return std::nullopt;
-  for (const One& one : calls_)
-    if (one.out) owe(due_of(one.begun, one.wait));
+  owe_calls();
   return make(now, next_watches_, chance);
 }
 
--- a/src/membership/watching.hpp
+++ b/src/membership/watching.hpp
@@ -20,9 +20,10 @@
 
 /// How a call ended that brought no list that counts.
 enum class Fault {
-  Refused,  ///< turned away, reset or unreachable: discovery lives or nobody is there
-  Spoilt,   ///< an answer that broke off, can't be read or may not count
-  TimedOut  ///< given up: nothing was heard
+  Refused,   ///< turned away, reset or unreachable: discovery lives or nobody is there
+  Spoilt,    ///< an answer that broke off or can't be read
+  Unusable,  ///< a whole answer that can be read and may not change the list: a better one is near
+  TimedOut   ///< given up: nothing was heard
 };
 
 class Watching {
@@ -30,9 +31,13 @@
   static constexpr int kSlots = 3;  ///< calls out at once
   static constexpr Micros kNever = -1;
 
+  static constexpr Micros kUsualGrace = 500'000;
+
   /// `routers`: of the tier, 1 or more. `pushed`: the other side is an agent on the router's own
-  /// machine, whose calls cost nothing and which may be silent at any time.
-  Watching(int routers, bool pushed) : routers_(routers), pushed_(pushed) {}
+  /// machine, whose calls cost nothing and which may be silent at any time. `grace`: so long after
+  /// it is told of a drain a router may still send to the server.
+  Watching(int routers, bool pushed, Micros grace = kUsualGrace)
+      : routers_(routers), pushed_(pushed), grace_(grace) {}
 
   /// A call to make now: in that slot, where what is out is dropped. `wait`: for news; 0: it is to
   /// be answered at once.
@@ -46,8 +51,8 @@
   Call begin(Micros now, double chance);
   /// A list is held that is from before: what has changed since counts within 6 s.
   void hold(Micros now);
-  /// Another discovery: what was out at the one before is not owed any more, and what the new one
-  /// has to tell counts as told within `within`.
+  /// Another discovery: calls out at the one before are no more this machine's, and what the new
+  /// one has to tell counts as told within `within`. What was owed before is owed still.
   void move(Micros now, Micros within);
   /// What is out may bring an older list than is held by now: nothing of it is waited for. What it
   /// owes is owed still.
@@ -78,7 +83,17 @@
     Micros begun = 0;
   };
   Call make(Micros now, bool watches, double chance);
+  std::size_t free_slot(Micros now) const;
   void owe(Micros due);
+  /// What is owed by the calls that are out.
+  void owe_calls();
+  /// What calls are hurried for; kNever: nothing. Past its due a router may be one of many whom a
+  /// discovery with too many callers turns away, but another address has its own time.
+  Micros hurry(Micros now) const;
+  /// Between calls on an agent that is silent or refuses.
+  Micros agent_period() const;
+  /// Of a watch there.
+  Micros agent_wait() const;
   void stretch(double by);
   void drop_before(Micros begun);
   /// Until the next call after one that failed.
@@ -87,12 +102,15 @@
 
   int routers_;
   bool pushed_;
+  Micros grace_;
   std::array<One, kSlots> calls_{};
   Micros next_ = kNever;
-  Micros due_ = kNever;
+  Micros due_ = kNever;        // the earliest; a later one does not replace it
+  Micros moved_due_ = kNever;  // of another address
   Micros answered_at_ = kNever;
   bool next_watches_ = false;  // what next_ begins: a watch, or a call that is answered at once
   int failures_ = 0;           // in a row
+  int unusable_ = 0;           // of them the last ones, in a row
   double stretch_ = 1;         // of waits, 1 to 2
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -183,9 +183,16 @@
     if (call->out() && call->id() == id) call->stop();
 }
 
+void Discovery::on_hosts(HostList&& list) {
+  refused_for_.clear();
+  handler_.on_hosts(std::move(list));
+}
+
 void Discovery::on_refused(const std::string& reason) {
   ++counts_.failed, ++counts_.bad;
-  std::fprintf(stderr, "arrowfork: discovery: the held list stays: %s\n", reason.c_str());
+  if (refused_for_ != reason)
+    std::fprintf(stderr, "arrowfork: discovery: the held list stays: %s\n", reason.c_str());
+  refused_for_ = reason;
 }
 
 void Discovery::arm() {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -70,6 +70,8 @@
    public:
     virtual ~Handler() = default;
     virtual void on_hosts(HostList&& list) = 0;
+    /// An answer that may not change the list tells of servers that leave; see drains_in().
+    virtual void on_drains(const HostList& list, bool unnamed_have_left) = 0;
     /// Any call; the next one may be under way already.
     virtual void on_call_failed() = 0;
     /// None is out: the next one is planned, and the handler may call sooner.
@@ -95,10 +97,13 @@
   void start(const ListCall& call) override;
   void cancel(int id) override;
   // ListSubscription::Handler
-  void on_hosts(HostList&& list) override { handler_.on_hosts(std::move(list)); }
+  void on_hosts(HostList&& list) override;
   void on_call_failed() override { handler_.on_call_failed(); }
   void on_hosts_failed() override { handler_.on_hosts_failed(); }
   void on_refused(const std::string& reason) override;
+  void on_drains(const HostList& list, bool unnamed_have_left) override {
+    handler_.on_drains(list, unnamed_have_left);
+  }
   /// Sets the timer to the subscription's next time.
   void arm();
   static void on_due(evutil_socket_t, short, void* self);
@@ -111,6 +116,7 @@
   /// its end.
   std::vector<std::unique_ptr<DiscoveryCall>> calls_;
   EventPtr due_;
+  std::string refused_for_;  // the reason that was logged last, until a list is taken
   std::unique_ptr<ListSubscription> subscription_;  // last: it makes calls as it begins
 };
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -91,6 +91,15 @@
   throw ConfigError(std::string("settings: ") + e.what());
 }
 
+ListSubscription::Options subscription_options(const Config& c) {
+  ListSubscription::Options o;
+  o.routers = c.settings.routers;
+  o.pushed = !c.settings.must_ask;
+  o.seed = c.seed;
+  o.grace = c.settings.drain_grace;
+  return o;
+}
+
 std::vector<robinseam::Server> servers_of(const HostList& list) {
   std::vector<robinseam::Server> servers;
   servers.reserve(list.hosts.size());
@@ -108,8 +117,7 @@
       core_(make_core(config, clock, *this)),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       clients_(base, clock_, core_, servers_, client_limits(config)),
-      discovery_(base, clock_, config.discovery, config.known,
-                 {config.settings.routers, !config.settings.must_ask, config.seed}, *this),
+      discovery_(base, clock_, config.discovery, config.known, subscription_options(config), *this),
       ban_file_(state_path(config, ".bans")),
       recovery_(config.settings.routers, clock.now(), kFresh),
       pulse_at_(clock.now()) {
@@ -258,11 +266,20 @@
 
 // ---- discovery ----
 
-void Router::on_hosts(HostList&& told) {
+void Router::apply(HostList&& told) {
   note_leaving(told);
   HostList list = hand_.take(std::move(told));
   servers_.take_list(list);
   core_.list(list.whole ? ListScope::Full : ListScope::Delta, servers_of(list));
+}
+
+void Router::on_drains(const HostList& list, bool unnamed_have_left) {
+  HostList drains = drains_in(list, unnamed_have_left, hand_.listed());
+  if (!drains.hosts.empty()) apply(std::move(drains));
+}
+
+void Router::on_hosts(HostList&& told) {
+  apply(std::move(told));
   recovery_.told(clock_.now(), any_ready());
   if (memory_) memory_->told(hand_.told());
   take_over_if_ready();
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -70,6 +70,7 @@
   }
   // Discovery::Handler
   void on_hosts(HostList&& list) override;
+  void on_drains(const HostList& list, bool unnamed_have_left) override;
   void on_call_failed() override { recovery_.failed(clock_.now()); }
   void on_hosts_failed() override { core_.list(robinseam::ListScope::Failed, {}); }
   // Lister
@@ -110,6 +111,8 @@
   bool list_is_old(const robinseam::recovery::Recovery::View& view) const;
   void note_overdue();
   void note_leaving(const HostList& told) const;
+  /// Acts on a list or a change of it, whoever it is from.
+  void apply(HostList&& told);
   void arm();
   /// Every figure under its name, for the log and for a client's STAT.
   std::vector<std::pair<std::string, std::string>> stats() const;
--- a/src/recovery/asking.cpp
+++ b/src/recovery/asking.cpp
@@ -15,6 +15,9 @@
 // answer and one more try have to fit in behind. The same for pauses after failures.
 constexpr double kSpread = 0.4;
 constexpr double kMostHeld = 4000 * kMilli;
+// And not longer than the tier's calls need, as often: the list that a process starts with may be
+// from long before, and drains since then count as told from its first moment.
+constexpr double kHeldSpread = 2;
 // Pauses after failures double, from and to; with nothing to route to both are shorter. Drawn in
 // full from 0 to twice their mean (full jitter: Brooker, AWS Architecture Blog, 2015), since
 // routers that failed together would else call together again.
@@ -35,7 +38,7 @@
 
 Micros Asking::first(double chance) const {
   double spread = std::min(kSpread * static_cast<double>(ask_within_), kMostHeld);
-  if (!usable_) spread = std::min(spread, tier_calls());
+  spread = std::min(spread, usable_ ? kHeldSpread * tier_calls() : tier_calls());
   return static_cast<Micros>(chance * spread);
 }
 
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -255,7 +255,7 @@
            R"(,"DialTimeoutUs":)" + std::to_string(dial_timeout_us) +
            R"(,"MaxOpen":1000},"MembershipMode":")" + mode +
            R"(","Report":{"Fields":["load_share","mean_ms","x0"],"How":"inline"},
-             "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.3,"ColdUs":8000000,"DrainGraceUs":500000,"OverloadFactor":4.0,"TipAfterUs":1500000},
+             "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.3,"ColdUs":8000000,"DrainGraceUs":2500000,"OverloadFactor":4.0,"TipAfterUs":1500000},
              "TickUs":2000,"Weights":"nominal"}})";
   }
 };
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -17,8 +17,9 @@
 /// One watch without a router behind it; the peer answers one call with `response` and closes.
 struct Asked final : Discovery::Handler {
   explicit Asked(const HostList& known)
-      : discovery(base.get(), clock, peer.address(), known, {1, false, 1}, *this) {}
+      : discovery(base.get(), clock, peer.address(), known, {1, false, 1, 500 * kMillisecond}, *this) {}
   void on_hosts(HostList&& list) override { taken.push_back(std::move(list)); }
+  void on_drains(const HostList&, bool) override {}
   void on_call_failed() override { ++calls_failed; }
   void on_hosts_failed() override { ++failed; }
   /// The path that was asked for.
--- a/tests/recovery/asking_test.cpp
+++ b/tests/recovery/asking_test.cpp
@@ -20,8 +20,8 @@
     bool usable;
     Micros longest;
   } const cases[] = {{1, false, 10 * kMs}, {12, false, 120 * kMs}, {24, false, 240 * kMs},
-                     {300, false, 3 * kS}, {1000, false, 4 * kS},  {1, true, 4 * kS},
-                     {300, true, 4 * kS}};
+                     {300, false, 3 * kS}, {1000, false, 4 * kS},  {1, true, 20 * kMs},
+                     {6, true, 120 * kMs}, {100, true, 2 * kS},    {300, true, 4 * kS}};
   for (const auto& one : cases) {
     Asking asking(one.routers, kWithin);
     asking.hold(one.usable);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -825,6 +825,7 @@
 TEST(List, RoutersDoNotAskTogetherAndAskAgainAfterFailure) {
   Settings s = basic_settings();
   s.must_ask = true;
+  s.routers = 300;
   std::set<Micros> starts;
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
     Balancer b(s, seed, 0);
