--- a/src/rig/discovery_server.cpp
+++ b/src/rig/discovery_server.cpp
@@ -43,16 +43,41 @@
                               reinterpret_cast<sockaddr*>(&address), &size) != 0)
     throw std::runtime_error("discovery: cannot listen");
   port->port = ntohs(address.sin_port);
+  port->bound = bound;
   evhttp_set_gencb(port->http.get(), on_call, port.get());
   ports_.push_back(std::move(port));
   return ports_.size() - 1;
 }
 
+void DiscoveryServer::close_port(std::size_t number, Micros span) {
+  Port& port = *ports_.at(number);
+  if (!port.bound) return;
+  evhttp_del_accept_socket(port.http.get(), std::exchange(port.bound, nullptr));
+  port.ends.reset(event_new(base_, -1, 0, on_port_over, &port));
+  timeval wait = timeval_of(span);
+  event_add(port.ends.get(), &wait);
+}
+
+void DiscoveryServer::on_port_over(evutil_socket_t, short, void* port) {
+  auto* p = static_cast<Port*>(port);
+  std::vector<evhttp_request*> open;
+  for (const Waiting& w : p->server->waiting_)
+    if (w.port == p) open.push_back(w.request);
+  p->server->waiting_.remove_if([p](const Waiting& w) { return w.port == p; });
+  for (evhttp_request* request : open)
+    evhttp_connection_free(evhttp_request_get_connection(request));
+}
+
 void DiscoveryServer::put(const std::string& id, const Entry& entry) {
   hosts_[id] = {entry, ++version_};
   end_watches();
 }
 
+void DiscoveryServer::put_twice(const std::string& id, const Entry& earlier, const Entry& entry) {
+  hosts_[id] = {entry, ++version_, earlier};
+  end_watches();
+}
+
 void DiscoveryServer::forget() {
   hosts_.clear();
   version_ = 1;
@@ -80,9 +105,12 @@
   Json hosts = Json::array();
   for (const auto& [id, one] : hosts_) {
     if (since == 0 ? one.entry.health == "left" : one.changed <= since) continue;
-    Entry entry = one.entry;
-    if (to.dial) entry.dial = to.dial(id, entry);
-    hosts.push_back(json_of(id, entry));
+    auto name = [&](Entry entry) {
+      if (to.dial) entry.dial = to.dial(id, entry);
+      hosts.push_back(json_of(id, entry));
+    };
+    if (since > 0 && one.earlier) name(*one.earlier);
+    name(one.entry);
   }
   return Json{{"seq", version_}, {"whole", since == 0}, {"hosts", std::move(hosts)}}.dump();
 }
--- a/src/rig/discovery_server.hpp
+++ b/src/rig/discovery_server.hpp
@@ -45,6 +45,8 @@
   using Dial = std::function<std::string(const std::string& id, const Entry& entry)>;
   std::size_t add_port(Dial dial);
   std::uint16_t port(std::size_t number) const { return ports_.at(number)->port; }
+  /// The port takes no new connection; what is open there is ended after `span`.
+  void close_port(std::size_t number, Micros span);
   std::string address(std::size_t number) const {
     return "127.0.0.1:" + std::to_string(port(number));
   }
@@ -66,6 +68,8 @@
   std::uint64_t version() const { return version_; }
   /// Adds a cache server or changes it; watches are told at once.
   void put(const std::string& id, const Entry& entry);
+  /// The same, where changes name the server twice: as it was for a moment, and as it is.
+  void put_twice(const std::string& id, const Entry& earlier, const Entry& entry);
   void set_fault(DiscoveryFault fault);
   /// The watches that are out stay open and say nothing more; calls from now on are answered.
   void mute_watches();
@@ -78,7 +82,8 @@
  private:
   struct Listed {
     Entry entry;
-    std::uint64_t changed = 0;  // the version that brought it
+    std::uint64_t changed = 0;                    // the version that brought it
+    std::optional<Entry> earlier = std::nullopt;  // named before it in changes
   };
   struct HttpFree {
     void operator()(evhttp* http) const { evhttp_free(http); }
@@ -87,6 +92,8 @@
     DiscoveryServer* server;
     std::size_t number;
     std::unique_ptr<evhttp, HttpFree> http;
+    evhttp_bound_socket* bound = nullptr;
+    EventPtr ends;  // what is open, once the port is closed
     std::uint16_t port = 0;
     Dial dial;
   };
@@ -101,6 +108,7 @@
     Micros until = 0;  // its wait is over then
   };
   static void on_call(evhttp_request* request, void* port);
+  static void on_port_over(evutil_socket_t, short, void* port);
   static void on_wait_over(evutil_socket_t, short, void* waiting);
   void call(Port& port, evhttp_request* request);
   void work(Port& port, evhttp_request* request, std::uint64_t since);
--- a/src/tier/account.hpp
+++ b/src/tier/account.hpp
@@ -27,6 +27,7 @@
     Called,   ///< `router` called discovery
     Told,     ///< and was told the list of version `value`; 0: the call failed
     Muted,    ///< its watch fell silent: what that misses counts as told at `value`
+    Moved,    ///< `router` got SIGHUP with another address of discovery
     Reach,    ///< discovery can be reached by `router` (-1: by any) from now on, or can't: flag
     Listed,   ///< the list changed: `cache`, value its version, further a state, flag: it is cold
     Started,  ///< a process of `router`, value its number
--- a/src/tier/checker.cpp
+++ b/src/tier/checker.cpp
@@ -16,6 +16,8 @@
 constexpr Micros kOver = 2 * kSecond;     // service is full again over so long
 // A change counts as told so long after discovery had it and could be reached.
 constexpr Micros kTold = 6 * kSecond;
+// After SIGHUP with another address.
+constexpr Micros kToldAfterHangup = 4 * kSecond;
 constexpr Micros kStep = 100 * kMillisecond;
 constexpr double kAsBefore = 0.98, kMoreLate = 0.05;
 
@@ -248,8 +250,9 @@
 }
 
 /// Rule 3, by router: told is what discovery has written to it, or deemed told: 6 s after discovery
-/// had it and could be reached, whatever became of calls, and what a silent watch misses at its
-/// time.
+/// had it and could be reached, whatever became of calls, what a silent watch misses at its time,
+/// and what another address has 4 s after the first SIGHUP that it has not answered since. A
+/// process that starts later than that is told from its first moment.
 Verdict Checker::drains() const {
   struct Change {
     std::int64_t version;
@@ -259,6 +262,8 @@
   std::map<std::pair<int, int>, Micros> told;        // router, cache
   std::unordered_map<std::uint64_t, int> router_of;  // by try
   std::map<int, Micros> muted;                       // router: what it misses counts then
+  std::map<int, Micros> moved;                       // router: what another address has counts then
+  std::map<int, Micros> started;                     // router: its process, this time
   // Since when discovery can be reached, by router and (-1) by any; -1: it can't.
   std::map<int, Micros> reach;
   int broken = 0;
@@ -275,9 +280,13 @@
       }
     }
     if (e.what == What::Reach) reach[e.router] = e.flag ? e.at : -1;
+    if (e.what == What::Moved) moved.try_emplace(e.router, e.at + kToldAfterHangup);
+    // The first starts lie before the load, whose begin is the origin of times.
+    if (e.what == What::Started && e.at < scenario_.lasts) started[e.router] = e.at;
     if (e.what == What::Muted) muted.try_emplace(e.router, e.value);
     // Any answer tells what was missed; a process that starts begins anew.
-    if ((e.what == What::Told && e.value > 0) || e.what == What::Started) muted.erase(e.router);
+    if ((e.what == What::Told && e.value > 0) || e.what == What::Started)
+      muted.erase(e.router), moved.erase(e.router);
     if (e.what == What::Told && e.value > 0)
       for (const auto& [cache, change] : leaving)
         if (e.value >= change.version) told.try_emplace({e.router, cache}, e.at);
@@ -299,6 +308,9 @@
       counts = std::max(missed->second, change->second.at);
     else if (here < 0 || any < 0)
       counts = e.at;  // not yet
+    else if (auto at = moved.find(who->second); at != moved.end())
+      counts = std::min(counts, std::max({at->second, change->second.at, here, any}));
+    counts = std::max(counts, started[who->second]);
     if (e.at > counts) told.try_emplace({who->second, e.cache}, counts);
     auto known = told.find({who->second, e.cache});
     if (known == told.end() || e.at - known->second <= limit) continue;
--- a/src/tier/scenario.cpp
+++ b/src/tier/scenario.cpp
@@ -43,15 +43,16 @@
                                                       {"discovery", Action::Verb::Discovery},
                                                       {"origin", Action::Verb::Origin},
                                                       {"load", Action::Verb::Load}}};
-constexpr std::array<Named<Action::Cache>, 9> kCache{{{"well", Action::Cache::Well},
-                                                      {"slow", Action::Cache::Slow},
-                                                      {"full", Action::Cache::Full},
-                                                      {"silent", Action::Cache::Silent},
-                                                      {"failing", Action::Cache::Failing},
-                                                      {"cold", Action::Cache::Cold},
-                                                      {"drain", Action::Cache::Drain},
-                                                      {"leave", Action::Cache::Leave},
-                                                      {"replace", Action::Cache::Replace}}};
+constexpr std::array<Named<Action::Cache>, 10> kCache{{{"well", Action::Cache::Well},
+                                                       {"slow", Action::Cache::Slow},
+                                                       {"full", Action::Cache::Full},
+                                                       {"silent", Action::Cache::Silent},
+                                                       {"failing", Action::Cache::Failing},
+                                                       {"cold", Action::Cache::Cold},
+                                                       {"drain", Action::Cache::Drain},
+                                                       {"twice", Action::Cache::Twice},
+                                                       {"leave", Action::Cache::Leave},
+                                                       {"replace", Action::Cache::Replace}}};
 constexpr std::array<Named<Action::Way>, 3> kWays{
     {{"tills > routers", Action::Way::TillsToRouters},
      {"routers > caches", Action::Way::RoutersToCaches},
@@ -155,6 +156,7 @@
       break;
     case Verb::Reload:
       t.json("config", a.config);
+      t.flag("moves", a.moves);
       break;
     case Verb::Upgrade:
       if (!s.control) t.fault("an upgrade needs routers.control = true");
--- a/src/tier/scenario.hpp
+++ b/src/tier/scenario.hpp
@@ -43,6 +43,7 @@
     Failing,  ///< answers with errors
     Cold,     ///< started anew at its address, empty; the list tells when
     Drain,    ///< the list says that it is leaving
+    Twice,    ///< it drains, and is gone at once: changes have an entry for each
     Leave,    ///< gone, and the list says so
     Replace,  ///< gone; another under a new name, cold, at `address`
   };
@@ -58,6 +59,7 @@
   Known known = Known::Now;
   State state = State::Kept;
   std::string config;  ///< JSON that is merged into the configuration
+  bool moves = false;  ///< Reload: discovery has another address from then on
   enum class Way { TillsToRouters, RoutersToCaches, RoutersToDiscovery } way{};
   LinkFault fault;
   Cache cache = Cache::Well;
--- a/src/tier/stage.cpp
+++ b/src/tier/stage.cpp
@@ -26,6 +26,7 @@
 // How often a successor is looked at, and how long it may take.
 constexpr Micros kUpgradeStep = 20 * kMillisecond;
 constexpr int kUpgradeTries = 300;
+constexpr Micros kOldAddressCloses = 1500 * kMillisecond;
 
 const std::map<std::string, rig::DiscoveryFault>& discovery_faults() {
   using F = rig::DiscoveryFault;
@@ -132,6 +133,19 @@
   discovery_.put(slot.id, e);
 }
 
+void Stage::list_twice(int index) {
+  CacheSlot& slot = caches_[static_cast<std::size_t>(index)];
+  rig::DiscoveryServer::Entry drains, gone;
+  drains.dial = gone.dial = slot.server->address();
+  drains.health = "leaving";
+  gone.health = slot.health = "left";
+  account_.note({.what = What::Listed,
+                 .cache = static_cast<std::int16_t>(index),
+                 .value = static_cast<std::int64_t>(discovery_.version() + 1),
+                 .further = Event::Gone});
+  discovery_.put_twice(slot.id, drains, gone);
+}
+
 void Stage::restart_cache(int index) {
   auto k = static_cast<std::size_t>(index);
   world_->catch_up();
@@ -167,6 +181,9 @@
     case State::Drain:
       list(index, "leaving", false);
       break;
+    case State::Twice:
+      list_twice(index);
+      break;
     case State::Leave:
       slot.server->set_away(true);
       list(index, "left", false);
@@ -223,18 +240,32 @@
 
 // ---- routers ----
 
+/// Of discovery, for that router.
+std::size_t Stage::open_port(int router) {
+  auto dial = [this, router](const std::string& id, const rig::DiscoveryServer::Entry& entry) {
+    auto& links = routers_[static_cast<std::size_t>(router)].to_caches;
+    auto link = links.find(cache_of_.at(id));
+    return link == links.end() ? entry.dial : "127.0.0.1:" + std::to_string(link->second->port());
+  };
+  std::size_t number = discovery_.add_port(dial);
+  router_of_port_[number] = router;
+  return number;
+}
+
+/// DAYS: the old address takes no new connection and closes the open ones after 1.5 s.
+void Stage::move_discovery(Router& router) {
+  discovery_.close_port(router.port_number, kOldAddressCloses);
+  router.port_number = open_port(router.index);
+  account_.note({.what = What::Moved, .router = static_cast<std::int16_t>(router.index)});
+}
+
 /// Links are made for the pairs that the timeline names; all others reach each other at once.
 void Stage::start_routers() {
   routers_.resize(static_cast<std::size_t>(s_.routers));
   for (int r = 0; r < s_.routers; ++r) {
     Router& router = routers_[static_cast<std::size_t>(r)];
     router.index = r;
-    router.port_number = discovery_.add_port([this, r](const std::string& id,
-                                                       const rig::DiscoveryServer::Entry& entry) {
-      auto& links = routers_[static_cast<std::size_t>(r)].to_caches;
-      auto link = links.find(cache_of_.at(id));
-      return link == links.end() ? entry.dial : "127.0.0.1:" + std::to_string(link->second->port());
-    });
+    router.port_number = open_port(r);
   }
   for (const Action& a : s_.actions) {
     if (a.verb != Action::Verb::Link) continue;
@@ -452,6 +483,7 @@
     case Verb::Reload: {
       if (!router->process) return;
       router->config = a.config;
+      if (a.moves) move_discovery(*router);
       std::ofstream(folder_.path() / ("n" + std::to_string(router->index) + ".json"))
           << config_of(*router, Known::Now);
       return router->process->signal(SIGHUP);
@@ -663,17 +695,19 @@
 
 void Stage::called(std::size_t port) {
   if (port > 0)
-    account_.note({.what = What::Called, .router = static_cast<std::int16_t>(port - 1)});
+    account_.note(
+        {.what = What::Called, .router = static_cast<std::int16_t>(router_of_port_.at(port))});
 }
 
 void Stage::told(std::size_t port, std::optional<std::uint64_t> version) {
   if (port == 0) return;
   // What a cut link holds back has not been told.
-  const auto& link = routers_[port - 1].to_discovery;
+  int router = router_of_port_.at(port);
+  const auto& link = routers_[static_cast<std::size_t>(router)].to_discovery;
   bool held = link && (link->fault().kind == LinkFault::Kind::Cut ||
                        link->fault().kind == LinkFault::Kind::Silent);
   account_.note({.what = What::Told,
-                 .router = static_cast<std::int16_t>(port - 1),
+                 .router = static_cast<std::int16_t>(router),
                  .value = version && !held ? static_cast<std::int64_t>(*version) : 0});
 }
 
@@ -682,7 +716,7 @@
   if (port == 0) return;
   Micros counts = account_.now() + std::max(6 * kSecond, left + 2 * kSecond);
   account_.note({.what = What::Muted,
-                 .router = static_cast<std::int16_t>(port - 1),
+                 .router = static_cast<std::int16_t>(router_of_port_.at(port)),
                  .value = static_cast<std::int64_t>(counts)});
 }
 
--- a/src/tier/stage.hpp
+++ b/src/tier/stage.hpp
@@ -83,6 +83,9 @@
   void set_cache(int index, const Action& action);
   void restore_cache(int index, Action::Cache state);
   void restart_cache(int index);
+  void list_twice(int index);
+  std::size_t open_port(int router);
+  void move_discovery(Router& router);
   void list(int index, const std::string& health, bool cold);
   void set_discovery(const Action& action);
 
@@ -116,6 +119,7 @@
   std::unique_ptr<rig::ModelWorld> world_;
   std::vector<CacheSlot> caches_;
   std::vector<std::unique_ptr<rig::ModelCache>> left_;  // that were replaced at another address
+  std::map<std::size_t, int> router_of_port_;           // of discovery
   std::map<std::string, int> cache_of_;                 // by id
   std::map<const rig::ModelCache*, int> index_of_;
   std::vector<Router> routers_;
