Drains: a moved server's unsent work is taken back; a configuration that can't be read is tried again

Same mistake in related paths (an event that leaves behind what an earlier one owes): 1. ServerSide::take_list retired the connections of a server that has another address or was started again, but left what waited there unsent: it was written to the place that had been left as soon as the dial or the buffer allowed. It is taken back now, and ServerConnection::flush takes back whatever a retiring connection holds right before it writes, so that no queue outruns a list. 2. Two ids at one address with equal born_ms: hash order decided which is used. Now the one to be used, then the id. 3. SIGHUP: a file half written, or a read that fails for a moment (EMFILE, EIO), kept the old address of discovery for good: the list then stays as it was, drains and all.

Seen to fail without: Dials.WhatWaitsUnsentForAServerThatLeavesIsTakenBack with the server_side.cpp of before ("it has another address", "it was started again"; the five other cases held).

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -6,6 +6,8 @@
 #include <csignal>
 #include <cstdio>
 
+#include "config_reloader.hpp"
+
 namespace arrowfork {
 namespace {
 
@@ -32,21 +34,6 @@
   return config;
 }
 
-struct Served {
-  Router& router;
-  const std::function<Config()>& load;
-};
-
-/// SIGHUP. A file that can't be used, half-written or gone, leaves everything as it is.
-void reload(Served& served) {
-  try {
-    served.router.reload(within_limits(served.load()));
-  } catch (const std::exception& e) {
-    served.router.note_failed_reload();
-    complain(std::string("reload: old configuration kept: ") + e.what());
-  }
-}
-
 }  // namespace
 
 int serve(const std::function<Config()>& load, const Attach& attach) {
@@ -74,9 +61,18 @@
     EventPtr interrupt(evsignal_new(base.get(), SIGINT, on_signal, &router));
     event_add(term.get(), nullptr);
     event_add(interrupt.get(), nullptr);
-    Served served{router, load};
-    auto on_reload = [](evutil_socket_t, short, void* s) { reload(*static_cast<Served*>(s)); };
-    EventPtr hangup(evsignal_new(base.get(), SIGHUP, on_reload, &served));
+    // A file that can't be used leaves everything as it is.
+    ConfigReloader reloader(
+        base.get(), clock, [&] { router.reload(within_limits(load())); },
+        [&](const std::string& reason) {
+          router.note_failed_reload();
+          complain("reload: old configuration kept: " + reason);
+        },
+        {});
+    auto on_reload = [](evutil_socket_t, short, void* r) {
+      static_cast<ConfigReloader*>(r)->hang_up();
+    };
+    EventPtr hangup(evsignal_new(base.get(), SIGHUP, on_reload, &reloader));
     event_add(hangup.get(), nullptr);
     // The address as it came to be: the system chooses a port where 0 was asked for.
     std::string host = config.listen.substr(0, config.listen.rfind(':'));
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
+#include <tuple>
 
 namespace arrowfork {
 namespace {
@@ -83,6 +84,16 @@
   }
 };
 
+namespace {
+
+/// Whether `one` replaces `other` at the address that both have. Where neither says that it was
+/// started later, one that is to be used; the ids decide else, so that each list means one thing.
+bool newer(const ServerPool& one, const ServerPool& other) {
+  return std::tie(one.born, one.wanted, one.id) > std::tie(other.born, other.wanted, other.id);
+}
+
+}  // namespace
+
 class ServerConnection {
  public:
   struct Entry {
@@ -147,6 +158,8 @@
 
   void flush() {
     if (connecting_) return;
+    // Right before anything is written: no queue outruns a list.
+    if (retiring_) side_.recall(*this);
     if (doomed_ && entries_.empty()) {
       side_.close(*this);
       return;
@@ -469,7 +482,10 @@
       pool.idle_limit = idle_limit();
       pool.budget = fresh_budget();
       pool.proven = false;
-      for (auto& c : pool.connections) c->retiring_ = true;
+      for (auto& c : pool.connections) {
+        c->retiring_ = true;
+        recall(*c);  // what waits there was meant for the place that is left
+      }
     }
     pool.listed = !gone;
     pool.wanted = host.server.health == robinseam::Health::Ready;
@@ -483,8 +499,9 @@
     auto [at, fresh] = newest.emplace(pool->dial, pool.get());
     if (fresh) continue;
     ServerPool*& other = at->second;
-    (pool->born > other->born ? other : pool.get())->wanted = false;
-    if (pool->born > other->born) other = pool.get();
+    bool replaces = newer(*pool, *other);
+    (replaces ? other : pool.get())->wanted = false;
+    if (replaces) other = pool.get();
   }
   weight_ = 0;
   for (auto& [id, pool] : pools_)
--- a/tests/net/dials_test.cpp
+++ b/tests/net/dials_test.cpp
@@ -1,5 +1,6 @@
 // Dials that a server has no room for, told from those to a dead one and from a full queue; idle
 // connections that are given back.
+#include <functional>
 #include <map>
 
 #include "../loopback.hpp"
@@ -7,6 +8,8 @@
 namespace arrowfork::test {
 namespace {
 
+using Hosts = std::vector<std::string>;
+
 /// A server side of its own, driven by the test's thread: what a peer writes between two calls of
 /// run() is seen in one turn.
 struct Dials final : ServerSide::Handler {
@@ -56,27 +59,54 @@
 
 std::string value_for(RequestId id) { return "VA 1 Od" + std::to_string(id) + "\r\nv\r\n"; }
 
-// A socket that takes no more keeps what is queued behind; the server is told to leave meanwhile.
+// A socket that takes no more keeps what is queued behind; meanwhile a list tells that the server
+// leaves, or that the place to which the connection leads is not its own any more.
 TEST(Dials, WhatWaitsUnsentForAServerThatLeavesIsTakenBack) {
-  Peer server;
-  ServerSide::Limits limits;
-  limits.per_server = 1;
-  Dials dials(server, limits);
-  RequestId first = dials.send();
-  Link link = dials.take(server, first);
-  // More than the two sockets hold, so that a part of it waits; then one behind it.
-  Request large;
-  large.write = true, large.key = "key", large.id = "w1", large.type = "put", large.tenant = "acme";
-  large.value = std::make_shared<const std::string>(32u << 20, 'x');
-  dials.side.send("s-1", 100, 0, large, kSecond);
-  dials.run();
-  RequestId behind = dials.send();
-  EXPECT_EQ(dials.side.counts().written, 1u);
-  dials.side.take_list(
-      parse_host_list(list_json(2, false, {host_json("s-1", server.address(), "leaving")})));
-  EXPECT_EQ(dials.end_of(behind), Status::Moot);
-  EXPECT_EQ(dials.ends.count(100), 0u);  // its first bytes were before the word
-  EXPECT_EQ(dials.side.counts().recalled, 1u);
+  Peer other;
+  struct Case {
+    const char* what;
+    bool whole;
+    std::function<std::vector<std::string>(const std::string& address)> hosts;
+  };
+  const Case cases[] = {
+      {"it drains", false,
+       [](const auto& address) { return Hosts{host_json("s-1", address, "leaving")}; }},
+      {"it is gone", false,
+       [](const auto& address) { return Hosts{host_json("s-1", address, "left")}; }},
+      {"a whole list has it no more", true,
+       [&](const auto&) { return Hosts{host_json("s-2", other.address())}; }},
+      {"it has another address", false,
+       [&](const auto&) { return Hosts{host_json("s-1", other.address())}; }},
+      {"it was started again", false,
+       [](const auto& address) { return Hosts{host_json("s-1", address, "active", 1'000'000)}; }},
+      {"another has its address", false,
+       [](const auto& address) { return Hosts{host_json("s-2", address, "active", 1'000'000)}; }},
+      {"another has its address, and neither says since when", false,
+       [](const auto& address) { return Hosts{host_json("s-2", address)}; }},
+  };
+  for (const Case& c : cases) {
+    Peer server;
+    ServerSide::Limits limits;
+    limits.per_server = 1;
+    Dials dials(server, limits);
+    RequestId first = dials.send();
+    Link link = dials.take(server, first);
+    // More than the two sockets hold, so that a part of it waits; then one behind it.
+    Request large;
+    large.write = true, large.key = "key", large.id = "w1", large.type = "put";
+    large.tenant = "acme";
+    large.value = std::make_shared<const std::string>(32u << 20, 'x');
+    dials.side.send("s-1", 100, 0, large, kSecond);
+    dials.run();
+    RequestId behind = dials.send();
+    EXPECT_EQ(dials.side.counts().written, 1u) << c.what;
+    EXPECT_EQ(dials.ends.count(behind), 0u) << c.what;
+    dials.side.take_list(parse_host_list(list_json(2, c.whole, c.hosts(server.address()))));
+    EXPECT_EQ(dials.ends.count(behind), 1u) << c.what;
+    EXPECT_EQ(dials.ends[behind], Status::Moot) << c.what;
+    EXPECT_EQ(dials.ends.count(100), 0u) << c.what;  // its first bytes were before the word
+    EXPECT_EQ(dials.side.counts().recalled, 1u) << c.what;
+  }
 }
 
 // Many servers and few descriptors: a second connection to one of them costs the others nothing
