Lists: an entry that can't be used hides no drain and does not keep the old list for good

The same mistake as the refused answers: one entry that could not be read (an unknown health, no dial) made the whole answer unreadable, whatever drains it told, and as long as discovery listed it the held list stayed. Now what can be read of such an answer counts for drains at once, the whole list is asked for, and the second such list in a row is taken without that entry. A draining server needs no dial.

--- a/src/membership/host_list.hpp
+++ b/src/membership/host_list.hpp
@@ -18,6 +18,7 @@
   std::string version;
   bool whole = false;
   std::vector<Host> hosts;
+  std::string fault = {};  ///< what is wrong with an entry that had to be left out; empty: none was
 };
 
 }  // namespace arrowfork
--- a/src/membership/list_guard.cpp
+++ b/src/membership/list_guard.cpp
@@ -50,7 +50,7 @@
 bool ListGuard::newer(const HostList& list) const { return before(version_, list.version); }
 
 std::string ListGuard::refuse(const HostList& list) {
-  std::string unlikely = twice_named(list);
+  std::string unlikely = list.fault.empty() ? twice_named(list) : list.fault;
   if (unlikely.empty() && list.whole && list.hosts.empty() && any_)
     unlikely = "a whole list that names no server";
   if (!unlikely.empty()) {
--- a/src/membership/list_guard.hpp
+++ b/src/membership/list_guard.hpp
@@ -11,14 +11,16 @@
 
 /// Knows what one discovery address has told. Free of I/O and time.
 ///
-/// Refused are a server named twice, a whole list that names nobody while somebody is held (every
-/// request would be turned away on the word of a registry that has just lost its state), and a
-/// version that goes back: a copy of discovery that lags behind, or an answer that was overtaken.
+/// Refused are an entry that can't be used, a server named twice, a whole list that names nobody
+/// while somebody is held (every request would be turned away on the word of a registry that has
+/// just lost its state), and a version that goes back: a copy of discovery that lags behind, or an
+/// answer that was overtaken.
 ///
-/// Nothing is refused without end, since discovery may mean it. A whole list that names a server
-/// twice or nobody is taken the second time in a row. A discovery that has begun to count anew
-/// can't be told from a copy that lags by one answer, but keeps to it: the third whole list in a
-/// row that lies back, and not behind the ones refused before it, is taken.
+/// Nothing is refused without end, since discovery may mean it. A whole list with one of the
+/// first three faults is taken the second time in a row, without the entries that can't be used. A
+/// discovery that has begun to count anew can't be told from a copy that lags by one answer, but
+/// keeps to it: the third whole list in a row that lies back, and not behind the ones refused
+/// before it, is taken.
 ///
 /// What a refused answer says of servers that leave holds at once all the same (drains_in()).
 class ListGuard {
@@ -44,7 +46,7 @@
   std::string version_;
   std::string back_version_;  // of the last list refused for going back
   int back_ = 0;              // lists in a row
-  int unlikely_ = 0;          // whole lists in a row that name a server twice or nobody
+  int unlikely_ = 0;          // whole lists in a row with such a fault
   bool any_ = false;          // a server is held
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -88,12 +88,13 @@
   h.server.up_since =
       static_cast<robinseam::Micros>(std::clamp(figure("born_ms", 0), 0.0, 1e15)) * 1000;
   if (h.server.id.empty()) throw ConfigError("hosts: an entry without host");
-  if (h.server.health != robinseam::Health::Gone && h.dial.empty())
+  if (h.server.health == robinseam::Health::Ready && h.dial.empty())
     throw ConfigError("hosts: " + h.server.id + " without dial");
   return h;
 }
 
-HostList host_list_of(const Json& json) {
+/// A list without its entries.
+HostList list_head_of(const Json& json) {
   if (!json.is_object()) throw ConfigError("a host list that is no object");
   auto seq = json.find("seq"), whole = json.find("whole"), hosts = json.find("hosts");
   if (seq == json.end() || !(seq->is_number() || seq->is_string()))
@@ -106,7 +107,12 @@
   if (list.version.empty() || list.version.size() > kMaxName)
     throw ConfigError("a host list without seq");
   list.whole = whole->get<bool>();
-  for (const Json& entry : *hosts) list.hosts.push_back(host_of(entry));
+  return list;
+}
+
+HostList host_list_of(const Json& json) {
+  HostList list = list_head_of(json);
+  for (const Json& entry : json["hosts"]) list.hosts.push_back(host_of(entry));
   return list;
 }
 
@@ -415,6 +421,23 @@
   }
 }
 
+HostList parse_answer(const std::string& json) {
+  try {
+    Json parsed = parse_json(json);
+    HostList list = list_head_of(parsed);
+    for (const Json& entry : parsed["hosts"]) {
+      try {
+        list.hosts.push_back(host_of(entry));
+      } catch (const ConfigError& e) {
+        if (list.fault.empty()) list.fault = e.what();
+      }
+    }
+    return list;
+  } catch (const Json::exception& e) {
+    throw ConfigError(e.what());
+  }
+}
+
 std::string text_of(const HostList& list) {
   Json json = {{"seq", list.version}, {"whole", list.whole}, {"hosts", Json::array()}};
   for (const Host& h : list.hosts) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -22,6 +22,8 @@
 
 /// Reads discovery's JSON. Throws ConfigError on anything that is not a list.
 HostList parse_host_list(const std::string& json);
+/// The same of an answer of discovery: an entry that can't be used is left out and told in `fault`.
+HostList parse_answer(const std::string& json);
 /// The same form of a list.
 std::string text_of(const HostList& list);
 
--- a/tests/membership/list_subscription_test.cpp
+++ b/tests/membership/list_subscription_test.cpp
@@ -118,6 +118,26 @@
   EXPECT_TRUE(f.ready("b"));
 }
 
+TEST(ListSubscription, AnEntryThatCantBeUsedHidesNoDrainAndIsLeftOutTheSecondTime) {
+  Fixture f;
+  HostList change = list("11", false, {host("a", Health::Draining)});
+  change.fault = "hosts: health 'asleep'";
+  f.answer(f.last(), change);
+  EXPECT_FALSE(f.ready("a"));
+  EXPECT_EQ(f.taken, 0);
+  EXPECT_EQ(f.refused, std::vector<std::string>{"hosts: health 'asleep'"});
+  HostList whole = list("11", true, {host("a", Health::Draining), host("c")});
+  whole.fault = change.fault;
+  ASSERT_TRUE(f.pass(50 * kMilli));
+  EXPECT_EQ(f.last().path, "/discovery/hosts");
+  f.answer(f.last(), whole);
+  EXPECT_FALSE(f.ready("b"));
+  EXPECT_FALSE(f.ready("c"));
+  ASSERT_TRUE(f.pass(50 * kMilli));
+  f.answer(f.last(), whole);
+  EXPECT_TRUE(f.ready("c"));
+}
+
 TEST(ListSubscription, AnEmptyWholeListDrainsAllAndIsTakenTheSecondTime) {
   Fixture f;
   f.answer(f.last(), list("11", true, {}));
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -67,7 +67,7 @@
       {"10 MB", whole(good + std::string(10u << 20, ' ')), true, false},
       {"an id twice", whole(list_json(5, false, {one, two, one})), true, true},
       {"an unknown state", whole(list_json(5, false, {host_json("s-1", "127.0.0.1:1", "asleep")})),
-       true, false},
+       true, true},
       {"a version that goes back", whole(list_json(3, false, {two})), true, true},
       {"an empty list", whole(list_json(5, true, {})), true, true},
       {"a head that can't be read", "what?\r\n\r\n", true, false},
