--- a/src/app/wheeldeal.cpp
+++ b/src/app/wheeldeal.cpp
@@ -14,6 +14,7 @@
 #include "../rig/storm.hpp"
 #include "../store/keeping.hpp"
 #include "../store/tool.hpp"
+#include "../tier/drain_scenario.hpp"
 #include "../tier/tier.hpp"
 #include "serve.hpp"
 
@@ -181,7 +182,12 @@
   bool only_check = false;
   CLI::App* tiered = app.add_subcommand(
       "tier", "play a scenario: many routers, faults between them, an account; 0 where all held");
-  tiered->add_option("file", scenario, "scenario (TOML)")->required();
+  tiered->add_option("file", scenario, "scenario (TOML)");
+  std::uint64_t drains = 0;
+  bool pushed = false;
+  tiered->add_option("--drains", drains,
+                     "in place of a file: drains with faults around them, drawn from this seed");
+  tiered->add_flag("--pushed", pushed, "with --drains: lists are pushed");
   tiered->add_flag("--check", only_check, "say whether the file can be used, and play nothing");
   tiered->add_option("--json", tier.json, "file for the result");
   tiered->add_option("--html", tier.html, "file for a page with plots");
@@ -195,7 +201,10 @@
     if (tier.arrowfork.empty())
       tier.arrowfork = std::filesystem::path(tier.wheeldeal).replace_filename("arrowfork").string();
     try {
-      auto read = arrowfork::tier::read_scenario(scenario);
+      if (scenario.empty() == (tiered->count("--drains") == 0))
+        throw std::runtime_error("wheeldeal tier: a file or --drains, one of the two");
+      auto read = scenario.empty() ? arrowfork::tier::drain_scenario(drains, pushed)
+                                   : arrowfork::tier::read_scenario(scenario);
       status = only_check ? 0 : arrowfork::tier::play(read, tier);
     } catch (const std::exception& e) {
       std::fprintf(stderr, "%s\n", e.what());
