--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -2,33 +2,23 @@
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <sys/uio.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <tuple>
 
+#include "server_connection.hpp"
+#include "server_pool.hpp"
+
 namespace arrowfork {
 namespace {
 
-constexpr std::size_t kScratch = 64u << 10;
 // An idle connection is closed after this part of the time after which the server does it: a
 // command that crosses the server's close ends as a reset, and nobody can tell whether it ran.
 constexpr double kIdlePart = 0.6;
-// Servers, or what stands between, may end idle connections far sooner and say so only when the
-// next command is written. Two such resets within kIdleAgain bound the idle time at that server to
-// this part of the time it took; the bound doubles every kIdleDoubles. An end that shows before
-// anything is written does no harm and teaches nothing: servers that are replaced, or that close
-// after an answer, once taught a bound of milliseconds, and every request dialled anew. Nor does a
-// reset after less than kLeastIdle: no idle time-out is that short, and a bound that short would
-// cost more in dials than it saves in resets.
-constexpr double kIdleSeenPart = 0.7;
-constexpr Micros kLeastIdle = 150 * kMillisecond;
-constexpr Micros kIdleAgain = 10 * kSecond;
+// The bound on the idle time that resets set (ServerPool) doubles this often.
 constexpr Micros kIdleDoubles = 10 * kSecond;
-// A reset this soon after the send is the answer to the send itself.
-constexpr Micros kStaleReset = 10 * kMillisecond;
 // An abandoned attempt's answer is waited for this long, so that its connection can be used again;
 // after that the machine is taken for silent.
 constexpr Micros kAbandonTime = kSecond;
@@ -45,47 +35,9 @@
 constexpr Micros kPipeSilence = 5 * kSecond;
 // What one large value holds at least and at most; its writer may go over it by one read.
 constexpr std::size_t kLeastWindow = 8u << 10, kMostWindow = 64u << 10;
-// An answer that names no command may come twice, the second time some milliseconds late. Behind
-// one of its kind within this time it may be that, and then says nothing of the next command.
-constexpr Micros kSecondAnswer = 50 * kMillisecond;
 // A server of the wrong protocol is told of this often.
 constexpr Micros kComplainEvery = 10 * kSecond;
 
-}  // namespace
-
-struct ServerPool {
-  std::string id;
-  std::string kind;
-  std::string dial;
-  std::optional<sockaddr_in> address;
-  ServerProtocol protocol = ServerProtocol::Meta;
-  bool proven = false;  // the last connection to begin an answer did so in that protocol
-  Micros complained_at = 0;
-  bool listed = false;  // named by discovery and not gone
-  bool wanted = false;  // listed and ready, and nobody newer at its address
-  double weight = 1;    // as listed
-  Micros born = 0;
-  Micros no_dial_until = 0;
-  Micros answered_at = 0;  // on a connection that had answered before
-  Micros idle_limit = 0;   // a connection idle for longer is not used again
-  Micros idle_reset_at = 0;
-  std::uint64_t given_up = 0;  // attempts, since the last line of the log
-  robinseam::limits::ConnectionBudget budget{0};
-  std::vector<std::unique_ptr<ServerConnection>> connections;
-
-  /// A command written after `span` of idleness was answered with a reset.
-  void note_idle_reset(Micros span, Micros now) {
-    if (span < kLeastIdle) return;
-    bool again = idle_reset_at > 0 && now - idle_reset_at < kIdleAgain;
-    idle_reset_at = now;
-    if (again)
-      idle_limit =
-          std::min(idle_limit, static_cast<Micros>(kIdleSeenPart * static_cast<double>(span)));
-  }
-};
-
-namespace {
-
 /// Whether `one` replaces `other` at the address that both have. Where neither says that it was
 /// started later, one that is to be used; the ids decide else, so that each list means one thing.
 bool newer(const ServerPool& one, const ServerPool& other) {
@@ -94,301 +46,6 @@
 
 }  // namespace
 
-class ServerConnection {
- public:
-  struct Entry {
-    RequestId id;
-    int attempt;
-    bool live = true;   // somebody waits for it
-    Expected expected;  // what its answer must bear
-    std::string bytes;  // the command, its value too unless it is large
-    std::shared_ptr<const std::string> value;
-    std::string_view tail;
-    std::size_t size;  // of the three, which are freed once written
-    Micros since;      // queued, then abandoned
-  };
-
-  ServerConnection(ServerSide& side, ServerPool& pool, Fd fd)
-      : side_(side),
-        pool_(pool),
-        fd_(std::move(fd)),
-        codec_(ServerCodec::make(pool.protocol, side.fields_, side.rules_.cas_is_server_key)),
-        used_at_(side.clock_.now()) {
-    read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
-    write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
-  }
-
-  static void on_event(evutil_socket_t, short what, void* self) {
-    auto* c = static_cast<ServerConnection*>(self);
-    if (c->closed_) return;
-    if (c->connecting_) {
-      c->connected(what);
-      return;
-    }
-    if (what & EV_WRITE) c->side_.touch(*c);
-    if (what & EV_READ) c->read();
-  }
-
-  ~ServerConnection() { end_pipe(false); }
-
-  bool idle() const { return !connecting_ && entries_.empty() && !pipe_; }
-  /// Nobody waits for anything on it.
-  bool forsaken() const {
-    return !pipe_ &&
-           std::none_of(entries_.begin(), entries_.end(), [](const Entry& e) { return e.live; });
-  }
-
-  void await_connect() {
-    timeval limit = timeval_of(side_.limits_.dial_timeout);
-    event_add(write_.get(), &limit);
-  }
-
-  void connected(short what) {
-    int error = 0;
-    socklen_t size = sizeof error;
-    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if ((what & EV_TIMEOUT) || error != 0) {
-      side_.failed_dial(*this);
-      return;
-    }
-    connecting_ = false;
-    event_add(read_.get(), nullptr);
-    side_.touch(*this);
-  }
-
-  void flush() {
-    if (connecting_) return;
-    // Right before anything is written: no queue outruns a list.
-    if (retiring_) side_.recall(*this);
-    if (doomed_ && entries_.empty()) {
-      side_.close(*this);
-      return;
-    }
-    // Where servers may be configured for the wrong protocol, one attempt a connection is what that
-    // may cost: the others wait for the first answer, and go elsewhere unsent if it is none.
-    std::size_t most = side_.rules_.any() && !pool_.proven
-                           ? std::max<std::size_t>(1, sent_ + (partial_ > 0))
-                           : entries_.size();
-    while (sent_ < std::min(most, entries_.size())) {
-      iovec parts[64];
-      int count = 0;
-      std::size_t skip = partial_;
-      auto add = [&](std::string_view bytes) {
-        std::size_t from = std::min(skip, bytes.size());
-        skip -= from;
-        if (from == bytes.size()) return;
-        parts[count++] = {const_cast<char*>(bytes.data()) + from, bytes.size() - from};
-      };
-      for (std::size_t k = sent_; k < std::min(most, entries_.size()) && count <= 61; ++k) {
-        add(entries_[k].bytes);
-        if (entries_[k].value) add(*entries_[k].value), add(entries_[k].tail);
-      }
-      msghdr message{};
-      message.msg_iov = parts;
-      message.msg_iovlen = static_cast<std::size_t>(count);
-      ssize_t put = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
-      if (put < 0) {
-        if (errno == EINTR) continue;
-        if (errno == EAGAIN || errno == EWOULDBLOCK) {
-          event_add(write_.get(), nullptr);
-          return;
-        }
-        side_.close(*this);
-        return;
-      }
-      partial_ += static_cast<std::size_t>(put);
-      while (sent_ < entries_.size() && partial_ >= entries_[sent_].size) {
-        Entry& e = entries_[sent_];
-        partial_ -= e.size;
-        std::string().swap(e.bytes);
-        e.value.reset();
-        ++sent_;
-        ++side_.counts_.written;
-      }
-    }
-  }
-
-  void begin_pipe(ServerCodec::Answer& answer) {
-    ++side_.counts_.piped;
-    ++side_.pipes_;
-    pipe_ = std::make_shared<ValuePipe>(answer.length, side_.pipe_window());
-    left_ = answer.length + 2;
-    pipe_->on_room([this] { update_reading(); });
-    answer.result.pipe = pipe_;
-  }
-
-  /// What is left of the value comes no more, or is all there.
-  void end_pipe(bool whole) {
-    if (!pipe_) return;
-    --side_.pipes_;
-    side_.counts_.pipes_broken += !whole && !pipe_->abandoned();
-    std::shared_ptr<ValuePipe> pipe = std::move(pipe_);
-    pipe_.reset();
-    pipe->on_room(nullptr);
-    whole ? pipe->finish() : pipe->fail();
-  }
-
-  /// Takes the value's part from `in`; false where the connection is closed with that.
-  bool feed(std::string_view& in) {
-    std::size_t body = left_ > 2 ? std::min(in.size(), left_ - 2) : 0;
-    if (body > 0) {
-      pipe_->put(in.substr(0, body));
-      in.remove_prefix(body);
-      left_ -= body;
-    }
-    while (left_ > 0 && left_ <= 2 && !in.empty()) {
-      if (in.front() != (left_ == 2 ? '\r' : '\n')) {
-        spoilt();
-        return false;
-      }
-      in.remove_prefix(1);
-      --left_;
-    }
-    if (left_ == 0) end_pipe(true), doomed_ = false;
-    update_reading();
-    return !closed_;
-  }
-
-  /// The value's reader sets the pace. A value that nobody reads any more is read to its end where
-  /// others wait behind it, and else costs the connection.
-  void update_reading() {
-    if (closed_ || connecting_) return;
-    if (pipe_ && pipe_->abandoned() && entries_.empty()) {
-      doomed_ = true;  // by the reader's call, so not at once
-      side_.touch(*this);
-      return;
-    }
-    bool want = !pipe_ || pipe_->abandoned() || !pipe_->full();
-    if (want == reading_) return;
-    reading_ = want;
-    if (want) used_at_ = side_.clock_.now();  // its silence was ours
-    want ? event_add(read_.get(), nullptr) : event_del(read_.get());
-  }
-
-  void read() {
-    std::size_t most = kScratch;
-    if (pipe_) {
-      pipe_->set_window(side_.pipe_window());
-      most = std::min(kScratch, pipe_->window());
-    }
-    ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), most, 0);
-    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
-    if (got <= 0) {
-      Micros now = side_.clock_.now();
-      if (entries_.empty()) {
-        ++side_.counts_.ended_idle;
-      } else {
-        ++side_.counts_.ended_busy;
-        bool stale = idle_before_ > 0 && sent_ == entries_.size() && sent_ == 1 &&
-                     !codec_->in_answer() && now - used_at_ < kStaleReset;
-        if (stale) pool_.note_idle_reset(idle_before_, now);
-      }
-      side_.close(*this);
-      return;
-    }
-    used_at_ = side_.clock_.now();
-    std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
-    if (!std::exchange(heard_, true) && codec_->is_other_protocol(in.front())) {
-      side_.wrong_protocol(*this);
-      return;
-    }
-    ServerCodec::Answer answer;
-    while (!closed_) {
-      if (pipe_) {
-        if (!feed(in)) return;
-        if (pipe_) break;
-      }
-      ServerCodec::Got what =
-          codec_->take(in, sent_ > 0 ? &entries_.front().expected : nullptr, answer);
-      if (what == ServerCodec::Got::Nothing) break;
-      // Garbage, and answers nobody asked for, say that the two sides no longer agree on what
-      // belongs to what: nothing more from this connection may be believed.
-      if (what == ServerCodec::Got::Broken) {
-        spoilt();
-        return;
-      }
-      bool last = answer.last;
-      // A server whose table is full takes the connection, says so once and ends it.
-      if (std::exchange(answered_, true)) {
-        pool_.answered_at = used_at_;
-      } else {
-        bool no_room = answer.status == Status::Full && ended();
-        if (no_room) answer.status = Status::NoRoom;
-        side_.note_dial(pool_, no_room);
-      }
-      if (!last && !std::exchange(pool_.proven, true))
-        for (auto& c : pool_.connections) side_.touch(*c);
-      // Believed, "busy" would let a write run twice that may run once. Reads can take it as it is.
-      bool unnamed_again = !answer.named && unnamed_at_ > 0 &&
-                           used_at_ - unnamed_at_ < kSecondAnswer &&
-                           entries_.front().expected.write;
-      if (!answer.named) unnamed_at_ = used_at_;
-      if (unnamed_again) {
-        spoilt();
-        return;
-      }
-      Entry done = std::move(entries_.front());
-      entries_.pop_front();
-      --sent_;
-      pool_.budget.answered();
-      if (what == ServerCodec::Got::Begin) begin_pipe(answer);
-      if (done.live)
-        side_.handler_.on_attempt_end(done.id, done.attempt, answer.status,
-                                      std::move(answer.result));
-      else
-        ++side_.counts_.late_answers;
-      answer.result.pipe.reset();
-      // Nobody wanted it: a copy had answered before.
-      if (pipe_ && pipe_.use_count() == 1) pipe_->abandon();
-      if (last) {
-        side_.close(*this, Status::Spoilt);
-        return;
-      }
-    }
-    // The beginning of something that nobody asked for: it would be read as part of the next
-    // answer.
-    if (!pipe_ && sent_ == 0 && codec_->in_answer()) {
-      spoilt();
-      return;
-    }
-    if (entries_.empty() && !pipe_ && retiring_) side_.close(*this);
-  }
-
-  void spoilt() {
-    ++side_.counts_.garbage;
-    side_.close(*this, Status::Spoilt);
-  }
-
-  /// True when the peer has ended or broken the connection, or said something unasked.
-  bool ended() const {
-    char byte;
-    ssize_t got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-  }
-
-  ServerSide& side_;
-  ServerPool& pool_;
-  Fd fd_;
-  EventPtr read_, write_;
-  std::unique_ptr<ServerCodec> codec_;
-  std::shared_ptr<ValuePipe> pipe_;  // the large value that comes now
-  std::size_t left_ = 0;             // bytes of it and of its CRLF that are to come
-  bool reading_ = true;
-  bool doomed_ = false;        // to be closed in the next flush
-  bool heard_ = false;         // bytes have come on it
-  bool answered_ = false;      // an answer has come on it
-  Micros unnamed_at_ = 0;      // the last answer that named no command; 0: none
-  std::deque<Entry> entries_;  // in the order of their answers
-  std::size_t sent_ = 0;       // of them, written whole
-  std::size_t partial_ = 0;    // bytes of the next one that are written
-  bool connecting_ = true;
-  bool retiring_ = false;  // nothing new; closes when its answers have come
-  bool dirty_ = false;
-  bool closed_ = false;
-  Micros used_at_;
-  Micros idle_before_ = 0;  // how long it was idle before its last use; 0 for a new one
-};
-
 ServerSide::ServerSide(event_base* base, const TimeSource& clock, Handler& handler, Limits limits,
                        const std::vector<robinseam::ReportField>* fields)
     : base_(base),
@@ -397,7 +54,7 @@
       limits_(limits),
       fields_(fields),
       idle_(limits.routers, idle_limit()),
-      scratch_(std::make_unique<char[]>(kScratch)) {
+      scratch_(std::make_unique<char[]>(ServerConnection::kScratch)) {
   sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
   timeval every = timeval_of(kSweep);
   event_add(sweep_event_.get(), &every);
