--- a/src/membership/watching.cpp
+++ b/src/membership/call_schedule.cpp
@@ -1,4 +1,4 @@
-#include "membership/watching.hpp"
+#include "membership/call_schedule.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -41,12 +41,12 @@
 constexpr Micros kAgentPatience = kSecond;
 // Once silent calls are known, a sign of life is asked for this often.
 constexpr Micros kSign = 400 * kMilli;
-// What an answer itself is presumed to need: the last try before a due begins so much earlier.
+// What an answer itself is presumed to need: the last try before a deadline begins so much earlier.
 constexpr Micros kAnswer = 600 * kMilli;
-// Parts of what is left until the due: as long a pause leaves room for three more tries.
+// Parts of what is left until the deadline: as long a pause leaves room for three more tries.
 // But not so short that a tier whose dues pass together, as discovery is down, storms it.
 constexpr Micros kLeastPause = kSign, kPushedPause = 50 * kMilli;
-constexpr int kDoublings = 3;  // of pauses, while no due presses
+constexpr int kDoublings = 3;  // of pauses, while no deadline presses
 // A small tier's calls are no load even for a discovery that is down.
 constexpr Micros kMostPauseAlone = 2 * kSign;
 constexpr double kMostPauseTier = 4;  // of the tier's calls
@@ -66,39 +66,41 @@
 constexpr Micros kRenewPause = 80 * kMilli;
 
 /// By when what a call may miss by falling silent has to be known.
-Micros due_of(Micros begun, Micros wait) { return begun + std::max(kTold, wait + kWaitTold); }
+Micros deadline_of(Micros begun, Micros wait) { return begun + std::max(kTold, wait + kWaitTold); }
 
 double between(double from, double to, double chance) { return from + (to - from) * chance; }
 
 }  // namespace
 
-double Watching::tier_calls() const { return kCall * std::max(1, routers_); }
+double CallSchedule::tier_calls() const { return kCall * std::max(1, routers_); }
 
-void Watching::stretch(double by) { stretch_ = std::clamp(stretch_ * by, 1.0, kMostStretch); }
+void CallSchedule::stretch(double by) { stretch_ = std::clamp(stretch_ * by, 1.0, kMostStretch); }
 
-void Watching::owe(Micros due) { due_ = due_ == kNever ? due : std::min(due_, due); }
+void CallSchedule::add_deadline(Micros deadline) {
+  deadline_ = deadline_ == kNever ? deadline : std::min(deadline_, deadline);
+}
 
-void Watching::owe_calls() {
+void CallSchedule::add_deadlines_of_calls() {
   for (const One& one : calls_)
-    if (one.out) owe(due_of(one.begun, one.wait));
+    if (one.out) add_deadline(deadline_of(one.begun, one.wait));
 }
 
-Micros Watching::hurry(Micros now) const {
-  if (!overdue(now)) return due_;
-  return now < moved_due_ ? moved_due_ : kNever;
+Micros CallSchedule::hurry(Micros now) const {
+  if (!overdue(now)) return deadline_;
+  return now < moved_deadline_ ? moved_deadline_ : kNever;
 }
 
-Micros Watching::agent_period() const {
+Micros CallSchedule::agent_period() const {
   return std::clamp((grace_ - kHeldUp) / kCallsInGrace, kLeastPeriod, kMostPeriod);
 }
 
-Micros Watching::agent_wait() const {
+Micros CallSchedule::agent_wait() const {
   return std::clamp(grace_ - kHeldUp - agent_period(), kLeastAgentWait, kMostAgentWait);
 }
 
 /// Beside what is out; where all slots are, in place of the oldest, or of the next where that is an
 /// agent's and may still be answered.
-std::size_t Watching::free_slot(Micros now) const {
+std::size_t CallSchedule::free_slot(Micros now) const {
   std::array<std::size_t, kSlots> by_age{};
   for (std::size_t k = 0; k < calls_.size(); ++k) {
     if (!calls_[k].out) return k;
@@ -111,9 +113,9 @@
   return by_age[waits ? 1 : 0];
 }
 
-Watching::Call Watching::make(Micros now, bool watches, double chance) {
+CallSchedule::Call CallSchedule::make(Micros now, bool watches, double chance) {
   std::size_t slot = free_slot(now);
-  if (calls_[slot].out) owe(due_of(calls_[slot].begun, calls_[slot].wait));
+  if (calls_[slot].out) add_deadline(deadline_of(calls_[slot].begun, calls_[slot].wait));
   Micros wait = 0;
   if (watches)
     wait = pushed_ ? agent_wait()
@@ -137,35 +139,35 @@
     for (std::size_t k = 0; k < calls_.size(); ++k) beside |= k != slot && calls_[k].out;
     Micros least =
         beside ? kSign : std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
-    Micros due = due_of(now, 0);
-    if (hurry(now) != kNever) due = std::min(due, hurry(now));
-    heard = std::min(heard, std::max(least, (due - now) / 2));
+    Micros deadline = deadline_of(now, 0);
+    if (hurry(now) != kNever) deadline = std::min(deadline, hurry(now));
+    heard = std::min(heard, std::max(least, (deadline - now) / 2));
   }
   next_ = now + heard;
   next_watches_ = false;
   return {static_cast<int>(slot), wait};
 }
 
-Watching::Call Watching::begin(Micros now, double chance) {
-  owe_calls();
+CallSchedule::Call CallSchedule::begin(Micros now, double chance) {
+  add_deadlines_of_calls();
   return make(now, false, chance);
 }
 
-void Watching::hold(Micros now) { owe(now + kTold); }
+void CallSchedule::hold(Micros now) { add_deadline(now + kTold); }
 
-void Watching::move(Micros now, Micros within) {
+void CallSchedule::move(Micros now, Micros within) {
   drop();
   failures_ = 0;
-  moved_due_ = now + within;
-  owe(moved_due_);
+  moved_deadline_ = now + within;
+  add_deadline(moved_deadline_);
 }
 
-void Watching::drop_before(Micros begun) {
+void CallSchedule::drop_before(Micros begun) {
   for (One& one : calls_)
     if (one.out && one.begun < begun) one.out = false;
 }
 
-void Watching::answered(Micros now, int slot, bool news, double chance) {
+void CallSchedule::answered(Micros now, int slot, bool news, double chance) {
   One& one = calls_[static_cast<std::size_t>(slot)];
   if (!one.out) return;
   One was = one;
@@ -174,7 +176,7 @@
   drop_before(was.begun);
   failures_ = unusable_ = 0;
   answered_at_ = now;
-  due_ = moved_due_ = kNever;
+  deadline_ = moved_deadline_ = kNever;
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
   // A watch with gaps is a new one.
@@ -185,25 +187,26 @@
   next_watches_ = true;
 }
 
-Micros Watching::pause(Micros now, bool queued, double chance) {
+Micros CallSchedule::pause(Micros now, bool queued, double chance) {
   ++failures_;
   if (pushed_) {
     Micros span = std::min<Micros>(kPushedPause * std::min(failures_, 5), agent_period());
     return static_cast<Micros>(static_cast<double>(span) * between(0.5, 1, chance));
   }
-  // As the tier's calls allow where there is time, sooner towards the due, and slower again once it
-  // has passed: nobody is helped then by calls that discovery has to turn away.
+  // As the tier's calls allow where there is time, sooner towards the deadline, and slower again
+  // once it has passed: nobody is helped then by calls that discovery has to turn away.
   double most = std::max<double>(kSign, tier_calls()) * (1 << std::min(failures_ - 1, kDoublings));
   most = std::min<double>(most, std::max<double>(kMostPauseAlone, kMostPauseTier * tier_calls()));
   most = std::min<double>(most, kMostPause);
-  Micros due = hurry(now);
-  double left = due == kNever || queued ? most : static_cast<double>(due - now - kAnswer) / 3;
+  Micros deadline = hurry(now);
+  double left =
+      deadline == kNever || queued ? most : static_cast<double>(deadline - now - kAnswer) / 3;
   double least = std::min(std::max<double>(kLeastPause, tier_calls() / 10), most);
   double span = std::clamp(left, least, most);
   return static_cast<Micros>(span * between(0.5, 1, chance));
 }
 
-bool Watching::failed(Micros now, int slot, Fault fault, double chance) {
+bool CallSchedule::failed(Micros now, int slot, Fault fault, double chance) {
   One& one = calls_[static_cast<std::size_t>(slot)];
   if (!one.out) return false;
   One was = one;
@@ -214,23 +217,23 @@
     if (!other.out) continue;
     others = true;
     // It may be silent: one that this call was to find out about.
-    if (other.begun < was.begun) owe(due_of(other.begun, other.wait));
+    if (other.begun < was.begun) add_deadline(deadline_of(other.begun, other.wait));
   }
   // A watch that was up has told all until it ended, unless it had fallen silent before. One that
   // ended at once may have missed what came right behind the last answer, and a call for the list
-  // of now what was there when it began; unless another is out, which brings it or is owed for.
+  // of now what was there when it began; unless another is out, which brings it or has a deadline.
   Micros from = was.wait == 0                    ? was.begun
                 : now - was.begun > kHeardWithin ? now
                 : answered_at_ == kNever         ? was.begun
                                                  : answered_at_;
   if (fault == Fault::Spoilt || fault == Fault::Unusable)
-    owe(now + kSpoiltTold);
+    add_deadline(now + kSpoiltTold);
   else if (!others)
-    owe(std::min(due_of(was.begun, was.wait), from + kTold));
+    add_deadline(std::min(deadline_of(was.begun, was.wait), from + kTold));
   else if (fault == Fault::TimedOut)
-    owe(due_of(was.begun, was.wait));
+    add_deadline(deadline_of(was.begun, was.wait));
   else  // what is out may be silent, and after a call that failed what it misses counts so soon
-    owe(now + kTold);
+    add_deadline(now + kTold);
   // The later call that is out has its own time; this one is made again before that.
   // Turned away after it had waited: discovery lives and has too many callers. Whoever presses it
   // then only takes the turn of one whose watch may be silent.
@@ -244,21 +247,21 @@
   return !pushed_ && !others;
 }
 
-void Watching::drop() {
-  owe_calls();
+void CallSchedule::drop() {
+  add_deadlines_of_calls();
   for (One& one : calls_) one.out = false;
   next_ = kNever;
 }
 
-void Watching::stop() {
+void CallSchedule::stop() {
   calls_ = {};
-  next_ = due_ = moved_due_ = kNever;
+  next_ = deadline_ = moved_deadline_ = kNever;
   failures_ = 0;
 }
 
-std::optional<Watching::Call> Watching::advance(Micros now, double chance) {
+std::optional<CallSchedule::Call> CallSchedule::advance(Micros now, double chance) {
   if (next_ == kNever || now < next_) return std::nullopt;
-  owe_calls();
+  add_deadlines_of_calls();
   return make(now, next_watches_, chance);
 }
 
--- a/src/membership/watching.hpp
+++ b/src/membership/call_schedule.hpp
@@ -5,10 +5,10 @@
 // and could be reached, whatever calls were refused, reset or given up; what a call that falls
 // silent misses counts 6 s after it fell silent, or 2 s after the wait that it was given, if that
 // is later. A router sees only that nothing comes, so from the beginning of each call that is not
-// answered there is a moment, its due, by which another call must have been answered. Any answer
-// settles all dues of calls that began before it. Everything here is counted backwards from the
-// nearest due; once it has passed, discovery may be back at any moment, and pauses stay so short
-// that the next due is kept.
+// answered there is a moment, its deadline, by which another call must have been answered. Any
+// answer settles all dues of calls that began before it. Everything here is counted backwards from
+// the nearest deadline; once it has passed, discovery may be back at any moment, and pauses stay so
+// short that the next deadline is kept.
 #pragma once
 
 #include <array>
@@ -26,7 +26,7 @@
   TimedOut   ///< given up: nothing was heard
 };
 
-class Watching {
+class CallSchedule {
  public:
   static constexpr int kSlots = 3;  ///< calls out at once
   static constexpr Micros kNever = -1;
@@ -36,7 +36,7 @@
   /// `routers`: of the tier, 1 or more. `pushed`: the other side is an agent on the router's own
   /// machine, whose calls cost nothing and which may be silent at any time. `grace`: so long after
   /// it is told of a drain a router may still send to the server.
-  Watching(int routers, bool pushed, Micros grace = kUsualGrace)
+  CallSchedule(int routers, bool pushed, Micros grace = kUsualGrace)
       : routers_(routers), pushed_(pushed), grace_(grace) {}
 
   /// A call to make now: in that slot, where what is out is dropped. `wait`: for news; 0: it is to
@@ -52,10 +52,10 @@
   /// A list is held that is from before: what has changed since counts within 6 s.
   void hold(Micros now);
   /// Another discovery: calls out at the one before are no more this machine's, and what the new
-  /// one has to tell counts as told within `within`. What was owed before is owed still.
+  /// one has to tell counts as told within `within`. Deadlines from before stay.
   void move(Micros now, Micros within);
-  /// What is out may bring an older list than is held by now: nothing of it is waited for. What it
-  /// owes is owed still.
+  /// What is out may bring an older list than is held by now: nothing of it is waited for. Its
+  /// deadlines stay.
   void drop();
   /// A list that counts has come, with changes or without. Calls that began before the one in that
   /// slot are out no more.
@@ -71,10 +71,10 @@
   std::optional<Call> advance(Micros now, double chance);
 
   bool out(int slot) const { return calls_[static_cast<std::size_t>(slot)].out; }
-  /// By when another call must have been answered; kNever: nothing is owed.
-  Micros due() const { return due_; }
+  /// By when another call must have been answered; kNever: there is none.
+  Micros deadline() const { return deadline_; }
   /// Something may count as told that has not been heard: the held list may be too old.
-  bool overdue(Micros now) const { return due_ != kNever && now > due_; }
+  bool overdue(Micros now) const { return deadline_ != kNever && now > deadline_; }
 
  private:
   struct One {
@@ -84,11 +84,11 @@
   };
   Call make(Micros now, bool watches, double chance);
   std::size_t free_slot(Micros now) const;
-  void owe(Micros due);
-  /// What is owed by the calls that are out.
-  void owe_calls();
-  /// What calls are hurried for; kNever: nothing. Past its due a router may be one of many whom a
-  /// discovery with too many callers turns away, but another address has its own time.
+  void add_deadline(Micros deadline);
+  /// Those of the calls that are out.
+  void add_deadlines_of_calls();
+  /// What calls are hurried for; kNever: nothing. Past its deadline a router may be one of many
+  /// whom a discovery with too many callers turns away, but another address has its own time.
   Micros hurry(Micros now) const;
   /// Between calls on an agent that is silent or refuses.
   Micros agent_period() const;
@@ -105,8 +105,8 @@
   Micros grace_;
   std::array<One, kSlots> calls_{};
   Micros next_ = kNever;
-  Micros due_ = kNever;        // the earliest; a later one does not replace it
-  Micros moved_due_ = kNever;  // of another address
+  Micros deadline_ = kNever;        // the earliest; a later one does not replace it
+  Micros moved_deadline_ = kNever;  // of another address
   Micros answered_at_ = kNever;
   bool next_watches_ = false;  // what next_ begins: a watch, or a call that is answered at once
   int failures_ = 0;           // in a row
--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -46,19 +46,19 @@
     : transport_(transport),
       handler_(handler),
       address_(address),
-      watching_(options.routers, options.pushed, options.grace),
+      schedule_(options.routers, options.pushed, options.grace),
       random_(static_cast<std::minstd_rand::result_type>(options.seed)) {
   ids_.fill(kNone);
   guard_.hold(known);
   if (options.pushed)
     watch(now);
   else if (!known.hosts.empty())
-    watching_.hold(now);
+    schedule_.hold(now);
 }
 
 void ListSubscription::watch(Micros now) {
-  look_at_ = Watching::kNever;
-  call(watching_.begin(now, chance()), now);
+  look_at_ = CallSchedule::kNever;
+  call(schedule_.begin(now, chance()), now);
 }
 
 void ListSubscription::look_again(Micros now, Micros span) {
@@ -78,23 +78,23 @@
   for (int& id : ids_)
     if (id != kNone) former.ids.push_back(std::exchange(id, kNone));
   formers_.push_back(std::move(former));
-  formers_until_ = Watching::kNever;
+  formers_until_ = CallSchedule::kNever;
   if (formers_.size() > kMostFormers) cancel_former(0);
   address_ = address;
   guard_.forget_version();
-  watching_.move(now, kMoveWithin);
+  schedule_.move(now, kMoveWithin);
   watch(now);
 }
 
 void ListSubscription::stop() {
-  watching_.stop();
-  look_at_ = Watching::kNever;
+  schedule_.stop();
+  look_at_ = CallSchedule::kNever;
   for (std::size_t slot = 0; slot < ids_.size(); ++slot) cancel_slot(slot);
   while (!lingering_.empty()) cancel_lingering();
   cancel_formers();
 }
 
-void ListSubscription::call(const Watching::Call& call, Micros now) {
+void ListSubscription::call(const CallSchedule::Call& call, Micros now) {
   auto slot = static_cast<std::size_t>(call.slot);
   cancel_slot(slot);
   ListCall out;
@@ -123,7 +123,7 @@
 
 void ListSubscription::cancel_formers() {
   while (!formers_.empty()) cancel_former(formers_.size() - 1);
-  formers_until_ = Watching::kNever;
+  formers_until_ = CallSchedule::kNever;
 }
 
 void ListSubscription::linger(std::size_t slot, Micros now) {
@@ -140,12 +140,12 @@
 
 void ListSubscription::end_lingering(Micros now) {
   while (!lingering_.empty() && now >= lingering_.front().until) cancel_lingering();
-  if (formers_until_ != Watching::kNever && now >= formers_until_) cancel_formers();
+  if (formers_until_ != CallSchedule::kNever && now >= formers_until_) cancel_formers();
 }
 
 void ListSubscription::follow(Micros now) {
   for (std::size_t slot = 0; slot < ids_.size(); ++slot)
-    if (!watching_.out(static_cast<int>(slot))) linger(slot, now);
+    if (!schedule_.out(static_cast<int>(slot))) linger(slot, now);
 }
 
 bool ListSubscription::may_count(ListGuard& guard, std::optional<HostList>& list) {
@@ -185,7 +185,7 @@
   if (!may_count(former.guard, list)) return;
   if (!list->whole && list->hosts.empty()) return;
   if (guard_.version().empty()) {
-    watching_.drop();
+    schedule_.drop();
     watch(now);
     handler_.on_hosts(std::move(*list));
     return;
@@ -208,7 +208,7 @@
   if (!counts) {
     if (list) ask_whole_ = true;
     Fault fault = list ? Fault::Unusable : result.fault;
-    bool alone = watching_.failed(now, static_cast<int>(slot), fault, chance());
+    bool alone = schedule_.failed(now, static_cast<int>(slot), fault, chance());
     follow(now);
     handler_.on_call_failed();
     if (alone) handler_.on_hosts_failed();
@@ -216,9 +216,9 @@
   }
   // Only a whole list says what became of servers in an answer that was refused.
   if (list->whole) ask_whole_ = false;
-  if (!formers_.empty() && formers_until_ == Watching::kNever) formers_until_ = now + kLinger;
+  if (!formers_.empty() && formers_until_ == CallSchedule::kNever) formers_until_ = now + kLinger;
   bool news = list->whole || !list->hosts.empty();
-  watching_.answered(now, static_cast<int>(slot), news, chance());
+  schedule_.answered(now, static_cast<int>(slot), news, chance());
   // A whole list is answered at once and no watch, so its silence must be noticed as soon.
   if (ask_whole_) watch(now);
   follow(now);
@@ -226,11 +226,11 @@
 }
 
 Micros ListSubscription::next() const {
-  Micros next = Watching::kNever;
+  Micros next = CallSchedule::kNever;
   auto at = [&next](Micros t) {
-    if (t != Watching::kNever && (next == Watching::kNever || t < next)) next = t;
+    if (t != CallSchedule::kNever && (next == CallSchedule::kNever || t < next)) next = t;
   };
-  at(watching_.next());
+  at(schedule_.next());
   at(look_at_);
   at(formers_until_);
   if (!lingering_.empty()) at(lingering_.front().until);
@@ -239,11 +239,11 @@
 
 void ListSubscription::advance(Micros now) {
   end_lingering(now);
-  if (look_at_ != Watching::kNever && now >= look_at_) {
+  if (look_at_ != CallSchedule::kNever && now >= look_at_) {
     watch(now);
     return;
   }
-  if (auto due = watching_.advance(now, chance())) call(*due, now);
+  if (auto due = schedule_.advance(now, chance())) call(*due, now);
 }
 
 }  // namespace arrowfork
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "call_schedule.hpp"
 #include "list_guard.hpp"
-#include "watching.hpp"
 
 namespace arrowfork {
 
@@ -41,7 +41,7 @@
 class ListSubscription {
  public:
   using Micros = robinseam::Micros;
-  using Watching = robinseam::membership::Watching;
+  using CallSchedule = robinseam::membership::CallSchedule;
 
   class Handler {
    public:
@@ -58,10 +58,10 @@
   };
 
   struct Options {
-    int routers = 1;                       ///< of the tier
-    bool pushed = false;                   ///< lists come from an agent on the own machine
-    std::uint64_t seed = 0;                ///< of the jitter
-    Micros grace = Watching::kUsualGrace;  ///< of drains
+    int routers = 1;                           ///< of the tier
+    bool pushed = false;                       ///< lists come from an agent on the own machine
+    std::uint64_t seed = 0;                    ///< of the jitter
+    Micros grace = CallSchedule::kUsualGrace;  ///< of drains
   };
 
   /// `known`: the list that is held at `now`.
@@ -82,14 +82,14 @@
 
   /// The transport's word on a call.
   void ended(int id, ListResult result, Micros now);
-  /// When advance() has to be called; Watching::kNever: there is nothing to wait for.
+  /// When advance() has to be called; CallSchedule::kNever: there is nothing to wait for.
   Micros next() const;
   void advance(Micros now);
 
   /// The next call is planned, whether one is out or not.
-  bool planned() const { return watching_.next() != Watching::kNever; }
+  bool planned() const { return schedule_.next() != CallSchedule::kNever; }
   /// Something that discovery had to tell may count as told by now and has not been heard.
-  bool overdue(Micros now) const { return watching_.overdue(now); }
+  bool overdue(Micros now) const { return schedule_.overdue(now); }
   /// The version of the list that is held; empty before the first.
   const std::string& version() const { return guard_.version(); }
 
@@ -110,7 +110,7 @@
   static constexpr std::size_t kMostLingering = 4;
   static constexpr std::size_t kMostFormers = 4;
 
-  void call(const Watching::Call& call, Micros now);
+  void call(const CallSchedule::Call& call, Micros now);
   void take(std::size_t slot, ListResult result, Micros now);
   void take_former(Former& former, ListResult result, Micros now);
   void take_lingering(ListResult result);
@@ -131,15 +131,15 @@
   Handler& handler_;
   std::string address_;
   ListGuard guard_;
-  Watching watching_;
-  /// By slot of `watching_`: the call that is out there.
-  std::array<int, Watching::kSlots> ids_;
-  std::vector<Former> formers_;              // the last one left last
-  Micros formers_until_ = Watching::kNever;  // once the new address has answered
-  std::vector<Lingering> lingering_;         // the oldest first
-  bool ask_whole_ = false;                   // what is held may not be what discovery thinks it is
+  CallSchedule schedule_;
+  /// By slot of `schedule_`: the call that is out there.
+  std::array<int, CallSchedule::kSlots> ids_;
+  std::vector<Former> formers_;                  // the last one left last
+  Micros formers_until_ = CallSchedule::kNever;  // once the new address has answered
+  std::vector<Lingering> lingering_;             // the oldest first
+  bool ask_whole_ = false;  // what is held may not be what discovery thinks it is
   int last_id_ = kNone;
-  Micros look_at_ = Watching::kNever;
+  Micros look_at_ = CallSchedule::kNever;
   std::minstd_rand random_;
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -198,7 +198,7 @@
 void Discovery::arm() {
   event_del(due_.get());
   Micros next = subscription_->next();
-  if (next == ListSubscription::Watching::kNever) return;
+  if (next == ListSubscription::CallSchedule::kNever) return;
   timeval wait = timeval_of(std::max<Micros>(0, next - clock_.now()));
   event_add(due_.get(), &wait);
 }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -35,7 +35,7 @@
 constexpr Micros kPulse = kSecond / 2;
 constexpr Micros kStoodStill = 2 * kSecond;
 // A list counts as of now until a watch that waits its longest should have been answered for.
-constexpr Micros kFresh = robinseam::membership::Watching::kLongestWait + 2 * kSecond;
+constexpr Micros kFresh = robinseam::membership::CallSchedule::kLongestWait + 2 * kSecond;
 // A server that is live over less than this part of its slots is avoided.
 constexpr double kAvoided = 0.05;
 // What one process of an upgrade is left with at least.
@@ -286,7 +286,7 @@
 }
 
 /// The module's pace is for a router that has nothing to send to. With a list in hand the next call
-/// is by the one budget (src/membership/watching), which a second plan beside it would only double.
+/// is by the one budget (src/membership/call_schedule), which a second plan beside it would only double.
 void Router::watch() {
   if (!(any_ready() && discovery_.planned())) discovery_.watch();
 }
--- a/tests/membership/watching_test.cpp
+++ b/tests/membership/call_schedule_test.cpp
@@ -1,6 +1,6 @@
 // Calls on discovery in virtual time: whatever becomes of single calls, a change is known before it
 // counts as told.
-#include "membership/watching.hpp"
+#include "membership/call_schedule.hpp"
 
 #include <gtest/gtest.h>
 
@@ -29,19 +29,19 @@
     bool dead = false;  // silent
   };
   struct Router {
-    Watching watching;
-    std::array<Out, Watching::kSlots> out{};
+    CallSchedule schedule;
+    std::array<Out, CallSchedule::kSlots> out{};
     Micros told_at = -1, due = -1, alarm = -1;
     int calls = 0;
   };
   Tier(int n, Micros work, unsigned seed) : random(seed), work_(work) {
-    for (int k = 0; k < n; ++k) routers.push_back({Watching(n, false), {}, -1, -1, -1, 0});
+    for (int k = 0; k < n; ++k) routers.push_back({CallSchedule(n, false), {}, -1, -1, -1, 0});
   }
   void at(Micros t, std::function<void()> what) { events.push({t, order++, std::move(what)}); }
   double chance() { return std::uniform_real_distribution<>()(random); }
 
-  void start(std::size_t r) { made(r, routers[r].watching.begin(now, chance())); }
-  void made(std::size_t r, Watching::Call call) {
+  void start(std::size_t r) { made(r, routers[r].schedule.begin(now, chance())); }
+  void made(std::size_t r, CallSchedule::Call call) {
     Router& one = routers[r];
     Out& out = one.out[static_cast<std::size_t>(call.slot)];
     out = {++one.calls, now, call.wait, false};
@@ -67,7 +67,7 @@
     follow(r);
   }
   bool is_out(std::size_t r, int slot, int made) {
-    return routers[r].watching.out(slot) &&
+    return routers[r].schedule.out(slot) &&
            routers[r].out[static_cast<std::size_t>(slot)].made == made;
   }
   void worked(std::size_t r, int slot, int made) {
@@ -85,25 +85,25 @@
     if (!is_out(r, slot, made) || one.out[static_cast<std::size_t>(slot)].dead) return;
     bool news = changed_at >= 0 && now >= changed_at && one.told_at < 0;
     if (news) one.told_at = now;
-    one.watching.answered(now, slot, news, chance());
+    one.schedule.answered(now, slot, news, chance());
     follow(r);
   }
   void failed(std::size_t r, int slot, int made, Fault fault) {
     if (!is_out(r, slot, made)) return;
     // With a list in hand the next call is the machine's in any case.
-    routers[r].watching.failed(now, slot, fault, chance());
+    routers[r].schedule.failed(now, slot, fault, chance());
     follow(r);
   }
   void follow(std::size_t r) {
     Router& one = routers[r];
-    if (one.watching.next() == Watching::kNever || one.alarm == one.watching.next()) return;
-    Micros t = one.alarm = one.watching.next();
+    if (one.schedule.next() == CallSchedule::kNever || one.alarm == one.schedule.next()) return;
+    Micros t = one.alarm = one.schedule.next();
     at(std::max(t, now), [=, this] {
       Router& due = routers[r];
       if (due.alarm != t) return;
       due.alarm = -1;
-      if (due.watching.next() != t) return follow(r);
-      if (auto call = due.watching.advance(now, chance())) made(r, *call);
+      if (due.schedule.next() != t) return follow(r);
+      if (auto call = due.schedule.advance(now, chance())) made(r, *call);
     });
   }
   /// Discovery is down from now on for `span`: refuses or is silent, and ends what is out or lets
@@ -111,9 +111,9 @@
   void go_down(Micros span, Fate as) {
     down_from = now, down_until = now + span, down_as = as, changed_at = down_until;
     for (std::size_t r = 0; r < routers.size(); ++r)
-      for (int slot = 0; slot < Watching::kSlots; ++slot) {
+      for (int slot = 0; slot < CallSchedule::kSlots; ++slot) {
         Out& out = routers[r].out[static_cast<std::size_t>(slot)];
-        if (!routers[r].watching.out(slot)) continue;
+        if (!routers[r].schedule.out(slot)) continue;
         routers[r].due = down_until + 6 * kSecond;
         if (as == Fate::Silent) {
           out.dead = true;
@@ -129,7 +129,7 @@
     changed_at = now;
     for (Router& one : routers) {
       for (Out& out : one.out)
-        if (one.watching.out(static_cast<int>(&out - one.out.data())) && out.wait > 0 &&
+        if (one.schedule.out(static_cast<int>(&out - one.out.data())) && out.wait > 0 &&
             !out.dead) {
           out.dead = true;
           one.due = std::max(now + 6 * kSecond, out.begun + out.wait + 2 * kSecond);
@@ -166,7 +166,7 @@
 // The watch has fallen silent; then each order of what may become of the next three calls. One or
 // two that are silent or late fit before the due, and any that are turned away or spoilt; where the
 // change is not known by then, the router knows that its list may be old, and goes on asking.
-TEST(Watching, EveryOrderOfSilentRefusedSpoiltLateAndAnsweredKeepsTheBudgetOrSaysSo) {
+TEST(CallSchedule, EveryOrderOfSilentRefusedSpoiltLateAndAnsweredKeepsTheBudgetOrSaysSo) {
   for (int code = 0; code < kFates * kFates * kFates; ++code) {
     Fate three[] = {static_cast<Fate>(code % kFates), static_cast<Fate>(code / kFates % kFates),
                     static_cast<Fate>(code / kFates / kFates)};
@@ -188,17 +188,17 @@
         EXPECT_TRUE(known) << code << ' ' << seed;
       }
       tier.run(one.due + 1);
-      EXPECT_TRUE(known || one.watching.overdue(tier.now)) << code << ' ' << seed;
+      EXPECT_TRUE(known || one.schedule.overdue(tier.now)) << code << ' ' << seed;
       tier.run(one.due + 10 * kSecond);
       EXPECT_GE(one.told_at, 0) << code << ' ' << seed;
-      EXPECT_FALSE(one.watching.overdue(tier.now)) << code << ' ' << seed;
+      EXPECT_FALSE(one.schedule.overdue(tier.now)) << code << ' ' << seed;
     }
   }
 }
 
 // The case: all watches silent within seconds of the start, one discovery for all, which
 // takes 2 to 8 s for a call of every router.
-TEST(Watching, ATierWhoseWatchesAllFallSilentKnowsAChangeBeforeItCounts) {
+TEST(CallSchedule, ATierWhoseWatchesAllFallSilentKnowsAChangeBeforeItCounts) {
   struct Case {
     int routers;
     Micros work, silent_at;
@@ -245,7 +245,7 @@
 // A watch is reset, the change comes right behind, and then each order of what may become of the
 // next three calls. It counts 6 s later whatever the calls came to; where more than one of them was
 // silent the router knows that its list may be old.
-TEST(Watching, AResetWatchAndEveryOrderOfThreeMoreCallsKnowsWithinSixSecondsOrSaysSo) {
+TEST(CallSchedule, AResetWatchAndEveryOrderOfThreeMoreCallsKnowsWithinSixSecondsOrSaysSo) {
   for (int code = 0; code < kFates * kFates * kFates; ++code) {
     Fate three[] = {static_cast<Fate>(code % kFates), static_cast<Fate>(code / kFates % kFates),
                     static_cast<Fate>(code / kFates / kFates)};
@@ -268,7 +268,7 @@
           EXPECT_TRUE(known) << code << ' ' << up << ' ' << seed;
         }
         tier.run(due + 2 * kMilli);
-        EXPECT_TRUE(known || one.watching.overdue(tier.now)) << code << ' ' << up << ' ' << seed;
+        EXPECT_TRUE(known || one.schedule.overdue(tier.now)) << code << ' ' << up << ' ' << seed;
         tier.run(due + 10 * kSecond);
         EXPECT_GE(one.told_at, 0) << code << ' ' << up << ' ' << seed;
       }
@@ -298,7 +298,7 @@
   tier.run(back + 6 * kSecond + 1);
   for (const Tier::Router& one : tier.routers) {
     if (one.told_at < 0 && one.due >= 0 && one.due <= back + 6 * kSecond) {
-      EXPECT_TRUE(one.watching.overdue(tier.now)) << c.routers << ' ' << c.work << ' ' << seed;
+      EXPECT_TRUE(one.schedule.overdue(tier.now)) << c.routers << ' ' << c.work << ' ' << seed;
     }
   }
   tier.run(back + until);
@@ -316,7 +316,7 @@
   return seen;
 }
 
-TEST(Watching, ATierKnowsWithinSixSecondsOfDiscoverysReturnHoweverLongItWasDown) {
+TEST(CallSchedule, ATierKnowsWithinSixSecondsOfDiscoverysReturnHoweverLongItWasDown) {
   const Outage cases[] = {{1, 27 * kMilli},  {30, 2 * kMilli},  {30, 27 * kMilli},
                           {350, 4 * kMilli}, {350, 7 * kMilli}, {1024, 2400}};
   for (const Outage& c : cases)
@@ -343,7 +343,7 @@
       }
 }
 
-TEST(Watching, WhereDiscoveryCanNotTakeACallOfEachInTimeAllSayThatTheirListMayBeOld) {
+TEST(CallSchedule, WhereDiscoveryCanNotTakeACallOfEachInTimeAllSayThatTheirListMayBeOld) {
   for (const Outage& c :
        {Outage{350, 12 * kMilli}, Outage{350, 27 * kMilli}, Outage{1024, 7 * kMilli}})
     for (unsigned seed = 1; seed <= 5; ++seed) {
@@ -353,7 +353,7 @@
 }
 
 // In quiet times: two calls a router in 20 s, whose peak does not stay where the start put it.
-TEST(Watching, WatchesBegunTogetherSpread) {
+TEST(CallSchedule, WatchesBegunTogetherSpread) {
   for (int routers : {14, 350, 1024}) {
     Tier tier(routers, kMilli, 1);
     for (std::size_t r = 0; r < tier.routers.size(); ++r) tier.start(r);
@@ -373,22 +373,22 @@
 
 // An agent may fall silent at any time and learns nothing then: what it has at its return counts at
 // once, so it is asked all the time.
-TEST(Watching, AnAgentThatIsSilentIsAskedFourTimesASecond) {
-  Watching watching(300, true);
+TEST(CallSchedule, AnAgentThatIsSilentIsAskedFourTimesASecond) {
+  CallSchedule schedule(300, true);
   std::vector<Micros> made;
   Micros now = 0;
-  auto call = watching.begin(now, 0.5);
-  watching.answered(10 * kMilli, call.slot, true, 0.5);
+  auto call = schedule.begin(now, 0.5);
+  schedule.answered(10 * kMilli, call.slot, true, 0.5);
   for (now = 10 * kMilli; now < 20 * kSecond; now += kMilli)
-    if (auto next = watching.advance(now, 0.5)) {
+    if (auto next = schedule.advance(now, 0.5)) {
       EXPECT_EQ(next->wait > 0, made.empty());
       made.push_back(now);
     }
   ASSERT_GT(made.size(), 60u);
   for (std::size_t k = 2; k < made.size(); ++k) EXPECT_LE(made[k] - made[k - 1], 300 * kMilli);
   EXPECT_LE(made[1] - made[0], 2300 * kMilli);
-  watching.answered(now, 0, true, 0.5);
-  EXPECT_FALSE(watching.overdue(now));
+  schedule.answered(now, 0, true, 0.5);
+  EXPECT_FALSE(schedule.overdue(now));
 }
 
 }  // namespace
--- a/tests/membership/discovery_world.hpp
+++ b/tests/membership/discovery_world.hpp
@@ -389,7 +389,7 @@
     }
     void arm() {
       Micros next = subscription->next();
-      if (next == ListSubscription::Watching::kNever || next == armed) return;
+      if (next == ListSubscription::CallSchedule::kNever || next == armed) return;
       armed = next;
       later(std::max<Micros>(0, next - world.now_), [this, next] {
         if (armed != next) return;
--- a/tests/membership/list_subscription_test.cpp
+++ b/tests/membership/list_subscription_test.cpp
@@ -79,8 +79,8 @@
     std::size_t before = made();
     for (Micros end = now + span; now < end;) {
       Micros next = subscription.next();
-      now = next == ListSubscription::Watching::kNever ? end : std::clamp(next, now, end);
-      if (next != ListSubscription::Watching::kNever && next <= now) subscription.advance(now);
+      now = next == ListSubscription::CallSchedule::kNever ? end : std::clamp(next, now, end);
+      if (next != ListSubscription::CallSchedule::kNever && next <= now) subscription.advance(now);
     }
     return made() > before;
   }
