Discovery: an answer that is written slowly is heard out beside the calls that follow it

The call counts as failed then as before (the next one is made), but it is heard out, and a list newer than the held one is taken from it.

Seen to fail without: DiscoveryAnswers.OnesThatAreWrittenSlowlyAreTakenAllTheSame (nothing taken in 10 s). 28 tests of discovery, subscription, fault injection and reload pass plainly.

--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -128,7 +128,10 @@
 
 void ListSubscription::linger(std::size_t slot, Micros now) {
   int id = std::exchange(ids_[slot], kNone);
-  if (id == kNone) return;
+  if (id != kNone) hear_out(id, now);
+}
+
+void ListSubscription::hear_out(int id, Micros now) {
   if (lingering_.size() == kMostLingering) cancel_lingering();
   lingering_.push_back({id, now + kLinger});
 }
@@ -174,6 +177,7 @@
   auto at = std::find(ids_.begin(), ids_.end(), id);
   if (at == ids_.end()) return;
   *at = kNone;
+  if (result.may_come) hear_out(id, now);
   take(static_cast<std::size_t>(at - ids_.begin()), std::move(result), now);
 }
 
@@ -195,10 +199,11 @@
   watch(now);
 }
 
-/// Told in the moment in which a later call was answered: newer than that, or known.
+/// Told in the moment in which a later call was answered, or slowly: newer than what is held, or
+/// known.
 void ListSubscription::take_lingering(ListResult result) {
   std::optional<HostList>& list = result.list;
-  if (!list || !guard_.newer(*list) || !may_count(guard_, list)) return;
+  if (!list || !(version().empty() || guard_.newer(*list)) || !may_count(guard_, list)) return;
   handler_.on_hosts(std::move(*list));
 }
 
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -27,6 +27,9 @@
 struct ListResult {
   std::optional<HostList> list;  ///< none: the call failed, as `fault` has it
   robinseam::membership::Fault fault = robinseam::membership::Fault::Refused;
+  /// The answer has begun and stopped short. It may still come: the call is out until it is
+  /// cancelled or ended once more.
+  bool may_come = false;
 };
 
 /// Makes the calls of a subscription. Each call that is started ends in one
@@ -119,6 +122,7 @@
   void cancel_slot(std::size_t slot);
   /// The call in the slot is out still and not waited for.
   void linger(std::size_t slot, Micros now);
+  void hear_out(int id, Micros now);
   void cancel_lingering();
   void end_lingering(Micros now);
   void cancel_former(std::size_t which);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -13,6 +13,8 @@
 // watch that stops short in it the change counts as told 6 s later, whatever its wait (seen:
 // calm+disco+brink+mass 10, an answer that stopped at 3.25 s, drains broken from 10.13 s on).
 constexpr Micros kAnswerTime = 1500 * kMillisecond;
+// After that it is heard out for so long, beside other calls.
+constexpr Micros kStalledTime = 4 * kSecond;
 // A sixteenth of the smallest deployment's 32 MB: as JSON in memory a list takes several times its
 // text. 1,024 servers with ids and addresses of 250 characters, indented, are 0.8 MB; of usual
 // length 0.3 MB.
@@ -43,7 +45,7 @@
   auto parsed = parse_address(call.address);
   std::uint16_t port = parsed ? ntohs(parsed->sin_port) : 0;
   fault_ = Fault::Refused;
-  begun_ = false;
+  begun_ = stalled_ = false;
   ++counts_.calls;
   connection_.reset(evhttp_connection_base_new(base_, nullptr, host.c_str(), port));
   evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
@@ -111,18 +113,28 @@
   if (error == EVREQ_HTTP_DATA_TOO_LONG) call->bad("an answer without end");
 }
 
+/// A server that writes slowly may go on: whoever waits is told, and the answer is taken if it
+/// comes.
+void DiscoveryCall::stall() {
+  stalled_ = true;
+  bad("the answer stopped short");
+  ++counts_.failed;
+  timeval rest = timeval_of(kStalledTime);
+  event_add(ready_.get(), &rest);
+  done_(id_, {std::nullopt, fault_, true});
+}
+
 void DiscoveryCall::on_ready(evutil_socket_t, short what, void* self) {
   auto* call = static_cast<DiscoveryCall*>(self);
-  if (what & EV_TIMEOUT) {
-    if (call->begun_)
-      call->bad("the answer stopped short");
-    else
-      call->fault_ = Fault::TimedOut;
+  if ((what & EV_TIMEOUT) && call->begun_ && !call->stalled_) {
+    call->stall();
+    return;
   }
+  if (what & EV_TIMEOUT) call->fault_ = Fault::TimedOut;
   call->connection_.reset();
   call->request_ = nullptr;
   std::optional<HostList> result = std::exchange(call->result_, std::nullopt);
-  call->counts_.failed += !result;
+  call->counts_.failed += !result && !call->stalled_;
   call->done_(call->id_, {std::move(result), call->fault_});
 }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -43,6 +43,7 @@
   static void on_answer(evhttp_request* request, void* self);
   static void on_error(evhttp_request_error error, void* self);
   void bad(const char* what);
+  void stall();
   static void on_ready(evutil_socket_t, short, void* self);
   static void on_bytes(evbuffer* input, const evbuffer_cb_info* info, void* self);
 
@@ -60,7 +61,8 @@
   Fault fault_ = Fault::Refused;
   Micros limit_ = 0;
   int id_ = 0;
-  bool begun_ = false;  // the answer has
+  bool begun_ = false;    // the answer has
+  bool stalled_ = false;  // and has stopped short; that was told
 };
 
 /// Carries a subscription's calls over HTTP and its times on the event loop.
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -1,6 +1,7 @@
 // Discovery's bad answers: what is held stays, each is counted, and a good one is taken after it.
 #include "net/discovery.hpp"
 
+#include <atomic>
 #include <nlohmann/json.hpp>
 
 #include "../loopback.hpp"
@@ -17,7 +18,8 @@
 /// One watch without a router behind it; the peer answers one call with `response` and closes.
 struct Asked final : Discovery::Handler {
   explicit Asked(const HostList& known)
-      : discovery(base.get(), clock, peer.address(), known, {1, false, 1, 500 * kMillisecond}, *this) {}
+      : discovery(base.get(), clock, peer.address(), known, {1, false, 1, 500 * kMillisecond},
+                  *this) {}
   void on_hosts(HostList&& list) override { taken.push_back(std::move(list)); }
   void on_drains(const HostList&, bool) override {}
   void on_call_failed() override { ++calls_failed; }
@@ -184,5 +186,31 @@
   answerer.join();
 }
 
+// Each answer takes 2.2 s to write. None is given up for good, or the list would never be known.
+TEST(DiscoveryAnswers, OnesThatAreWrittenSlowlyAreTakenAllTheSame) {
+  const std::string good = whole(list_json(5, false, {host_json("s-1", "127.0.0.1:1", "leaving")}));
+  Asked asked(parse_host_list(list_json(4, true, {host_json("s-1", "127.0.0.1:1")})));
+  std::atomic<bool> done{false};
+  std::thread answerer([&] {
+    Link call = asked.peer.accept();
+    for (std::string line = call.line(); line.size() > 2;) line = call.line();
+    ::send(call.fd(), good.data(), 40, MSG_NOSIGNAL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+    ::send(call.fd(), good.data() + 40, good.size() - 40, MSG_NOSIGNAL);
+    while (!done) std::this_thread::yield();
+  });
+  Micros begun = asked.clock.now();
+  asked.discovery.watch();
+  while (asked.taken.empty() && asked.clock.now() - begun < 10 * kSecond)
+    event_base_loop(asked.base.get(), EVLOOP_ONCE);
+  ASSERT_EQ(asked.taken.size(), 1u);
+  EXPECT_EQ(asked.taken[0].hosts.size(), 1u);
+  EXPECT_EQ(asked.discovery.counts().bad, 1u);
+  EXPECT_GT(asked.discovery.counts().calls, 1u);  // it was asked beside it
+  asked.discovery.stop();
+  done = true;
+  answerer.join();
+}
+
 }  // namespace
 }  // namespace arrowfork::test
