--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -260,6 +260,20 @@
   }
 };
 
+inline std::string http(const std::string& body, const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close\r\n" +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Takes one call and answers it; its request line.
+inline std::string answer_call(Peer& discovery, const std::string& response) {
+  Link call = discovery.accept();
+  std::string request = call.line();
+  for (std::string header = call.line(); header.size() > 2;) header = call.line();
+  call.write(response);
+  return request;
+}
+
 /// A router on a thread of its own, ended without a drain unless terminate() is called.
 class RunningRouter {
  public:
--- a/tests/operations/control_test.cpp
+++ b/tests/operations/control_test.cpp
@@ -84,6 +84,33 @@
   EXPECT_EQ(f["hosts_listed"], 1);
 }
 
+// Where the list may be out of date it stays in use, and whoever asks is told so until discovery
+// has answered.
+TEST(Control, AListThatMayBeOldIsSaidToBeAndStaysInUse) {
+  TwoServers servers;
+  Peer discovery, next;
+  ConfigText config = servers.config();
+  config.mode = "automatic";
+  config.discovery = discovery.address();
+  RunningRouter router(config);
+  answer_call(discovery, http(list_json(5, false, {})));
+  auto says_old = [&] {
+    return router.control("GET", "/-/ready").find("may be old") != std::string::npos;
+  };
+  while (says_old()) std::this_thread::yield();  // until that answer has been read
+  config.discovery = "127.0.0.1:1";              // nobody is there
+  router.reload(config.text());
+  while (!says_old()) std::this_thread::yield();
+  EXPECT_TRUE(yes(router.control("GET", "/-/ready")));
+  Link client = router.client();
+  client.write(get("o1", "key"));
+  EXPECT_EQ(client.line().substr(0, 3), "VA ");
+  config.discovery = next.address();
+  router.reload(config.text());
+  answer_call(next, http(list_json(1, true, {host_json("s-1", "127.0.0.1:1")})));
+  while (says_old()) std::this_thread::yield();
+}
+
 TEST(Control, CallersWhoHoldTheirConnectionsKeepNobodyOut) {
   TwoServers servers;
   RunningRouter router(servers.config());
--- a/tests/tier/checker_test.cpp
+++ b/tests/tier/checker_test.cpp
@@ -112,6 +112,28 @@
       {"another's is",
        leaves(-1).note(kMs, {.what = What::Reach, .router = 1}).begun(20 * kSecond, 1, 0), 2,
        false},
+      {"4 s after SIGHUP with another address",
+       leaves(-1).note(0, {.what = What::Moved, .router = 0}).begun(4600 * kMs, 1, 0), 2, false},
+      {"nor does it count before",
+       leaves(-1).note(0, {.what = What::Moved, .router = 0}).begun(4400 * kMs, 1, 0), 2, true},
+      {"4 s after the first of several",
+       leaves(-1)
+           .note(0, {.what = What::Moved, .router = 0})
+           .note(2 * kSecond, {.what = What::Moved, .router = 0})
+           .begun(4600 * kMs, 1, 0),
+       2, false},
+      {"another's SIGHUP",
+       leaves(-1).note(0, {.what = What::Moved, .router = 1}).begun(4600 * kMs, 1, 0), 2, true},
+      {"a process that starts later than it counts has the grace",
+       leaves(-1)
+           .note(10 * kSecond, {.what = What::Started, .router = 0})
+           .begun(10'400 * kMs, 1, 0),
+       2, true},
+      {"and no more",
+       leaves(-1)
+           .note(10 * kSecond, {.what = What::Started, .router = 0})
+           .begun(10'600 * kMs, 1, 0),
+       2, false},
       {"told to a process that is gone",
        leaves(0).note(kSecond, {.what = What::Started, .router = 0}).begun(2 * kSecond, 1, 0), 2,
        true},
