--- a/src/rig/discovery_server.cpp
+++ b/src/rig/discovery_server.cpp
@@ -164,7 +164,7 @@
   if (fault_ == DiscoveryFault::Reset)
     evhttp_connection_free(evhttp_request_get_connection(request));
   else if (fault_ == DiscoveryFault::Silent)
-    wait(port, request, since, false, kSilentTime);
+    take_silently(port, request, since, ms * kMillisecond);
   else if (fault_ == DiscoveryFault::Slow)
     wait(port, request, since, false, kSlowTime);
   else if (since == 0 || since < version_ || ms == 0 || fault_ != DiscoveryFault::None)
@@ -173,6 +173,13 @@
     wait(port, request, since, true, ms * kMillisecond);
 }
 
+/// A call that may wait is a watch that is silent from the first.
+void DiscoveryServer::take_silently(Port& port, evhttp_request* request, std::uint64_t since,
+                                    Micros span) {
+  if (observer_) observer_->muted(port.number, span);
+  wait(port, request, since, false, kSilentTime);
+}
+
 void DiscoveryServer::work(Port& port, evhttp_request* request, std::uint64_t since) {
   if (work_ == 0) return answer(port, request, since);
   Micros now = clock_.now();
--- a/src/rig/discovery_server.hpp
+++ b/src/rig/discovery_server.hpp
@@ -112,6 +112,7 @@
   static void on_wait_over(evutil_socket_t, short, void* waiting);
   void call(Port& port, evhttp_request* request);
   void work(Port& port, evhttp_request* request, std::uint64_t since);
+  void take_silently(Port& port, evhttp_request* request, std::uint64_t since, Micros span);
   void answer(Port& port, evhttp_request* request, std::uint64_t since);
   void refuse(Port& port, evhttp_request* request);
   std::string changes(std::size_t port, std::uint64_t since) const;
