Lists: calls at former addresses are bounded by number, not by addresses

Eight former calls, four that linger and three in the slots stay under the 24 descriptors that the router reserves for itself; four addresses could have held twelve.

--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -77,9 +77,10 @@
   former.guard = guard_;
   for (int& id : ids_)
     if (id != kNone) former.ids.push_back(std::exchange(id, kNone));
+  std::erase_if(formers_, [](const Former& one) { return one.ids.empty(); });
   formers_.push_back(std::move(former));
   formers_until_ = CallSchedule::kNever;
-  if (formers_.size() > kMostFormers) cancel_former(0);
+  while (former_calls() > kMostFormerCalls) cancel_former(0);
   address_ = address;
   guard_.forget_version();
   schedule_.move(now, kMoveWithin);
@@ -116,6 +117,12 @@
   if (id != kNone) transport_.cancel(id);
 }
 
+std::size_t ListSubscription::former_calls() const {
+  std::size_t calls = 0;
+  for (const Former& former : formers_) calls += former.ids.size();
+  return calls;
+}
+
 void ListSubscription::cancel_former(std::size_t which) {
   for (int id : formers_[which].ids) transport_.cancel(id);
   formers_.erase(formers_.begin() + static_cast<std::ptrdiff_t>(which));
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -111,7 +111,9 @@
   };
   static constexpr Micros kLinger = 2'000'000;
   static constexpr std::size_t kMostLingering = 4;
-  static constexpr std::size_t kMostFormers = 4;
+  /// Calls at former addresses; with those that linger and those in the slots they are no more than
+  /// the descriptors that the router reserves for discovery.
+  static constexpr std::size_t kMostFormerCalls = 8;
 
   void call(const CallSchedule::Call& call, Micros now);
   void take(std::size_t slot, ListResult result, Micros now);
@@ -125,6 +127,7 @@
   void hear_out(int id, Micros now);
   void cancel_lingering();
   void end_lingering(Micros now);
+  std::size_t former_calls() const;
   void cancel_former(std::size_t which);
   void cancel_formers();
   /// Leaves the calls that are not waited for any more.
--- a/tests/membership/list_subscription_test.cpp
+++ b/tests/membership/list_subscription_test.cpp
@@ -229,6 +229,17 @@
   EXPECT_TRUE(f.ready("b"));
 }
 
+TEST(ListSubscription, ManyNewAddressesInARowLeaveNoMoreCallsThanThereAreDescriptorsFor) {
+  Fixture f;
+  f.answer(f.last(), list("11", false, {}));
+  for (int k = 0; k < 100; ++k) {
+    f.pass(30 * kMilli);
+    f.subscription.move_to("next:" + std::to_string(k), f.now);
+    EXPECT_LE(f.out.size(), 3u + 4u + 8u);
+  }
+  EXPECT_GE(f.out.size(), 9u);  // the last ones are heard out
+}
+
 TEST(ListSubscription, ADrainThatCrossesTheNewAddressesFirstAnswerCounts) {
   Fixture f;
   f.answer(f.last(), list("11", false, {}));
