Lists: what refused lingering and former answers drain is asked about; no mix of addresses

A refused answer to a lingering call, or of a former address, drained servers and nobody asked what became of them. Whatever drains by a refused answer now asks for the whole list (drain()). 2. A lingering call of the old address could be taken for the new one's list. It goes with its address. 3. Where discovery answers the whole-list call with a change, it was asked again without a pause. 4. ListGuard counted unlikely lists that were not in a row; drains took over what was set by hand (told_hosts() in place of listed()).

--- a/src/membership/hand_list.hpp
+++ b/src/membership/hand_list.hpp
@@ -33,6 +33,8 @@
   const Bans& bans() const { return bans_; }
   /// The servers on the list as it is acted on, those that leave among them.
   const std::unordered_map<std::string, Host>& listed() const { return acted_; }
+  /// The same as discovery has told it, without what was done by hand.
+  const std::unordered_map<std::string, Host>& told_hosts() const { return told_; }
   /// The list as discovery told it, whole.
   HostList told() const;
 
--- a/src/membership/list_guard.cpp
+++ b/src/membership/list_guard.cpp
@@ -53,10 +53,8 @@
   std::string unlikely = list.fault.empty() ? twice_named(list) : list.fault;
   if (unlikely.empty() && list.whole && list.hosts.empty() && any_)
     unlikely = "a whole list that names no server";
-  if (!unlikely.empty()) {
-    unlikely_ = list.whole ? unlikely_ + 1 : 0;
-    if (unlikely_ < kMeant) return unlikely;
-  }
+  unlikely_ = !unlikely.empty() && list.whole ? unlikely_ + 1 : 0;
+  if (!unlikely.empty() && unlikely_ < kMeant) return unlikely;
   if (before(list.version, version_)) {
     bool onward = list.whole && !before(list.version, back_version_);
     back_ = onward ? back_ + 1 : list.whole;
--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -77,6 +77,8 @@
   former.guard = guard_;
   for (int& id : ids_)
     if (id != kNone) former.ids.push_back(std::exchange(id, kNone));
+  for (const Lingering& one : lingering_) former.ids.push_back(one.id);
+  lingering_.clear();
   std::erase_if(formers_, [](const Former& one) { return one.ids.empty(); });
   formers_.push_back(std::move(former));
   formers_until_ = CallSchedule::kNever;
@@ -103,7 +105,8 @@
   out.address = address_;
   out.path = kPath;
   out.limit = kCallTime;
-  if (!guard_.version().empty() && !ask_whole_) {
+  whole_asked_[slot] = guard_.version().empty() || ask_whole_;
+  if (!whole_asked_[slot]) {
     int wait = std::max(kShortWaitMs, static_cast<int>(call.wait / kMillisecond));
     out.path += "?index=" + escaped(guard_.version()) + "&wait=" + std::to_string(wait);
     out.limit += wait * kMillisecond;
@@ -167,10 +170,16 @@
     return true;
   }
   handler_.on_refused(reason);
-  handler_.on_drains(*list, unnamed_have_left);
+  drain(*list, unnamed_have_left);
   return false;
 }
 
+/// The whole list has to say what became of these servers.
+void ListSubscription::drain(const HostList& list, bool unnamed_have_left) {
+  ask_whole_ = true;
+  handler_.on_drains(list, unnamed_have_left);
+}
+
 void ListSubscription::ended(int id, ListResult result, Micros now) {
   for (Former& former : formers_) {
     if (std::erase(former.ids, id) == 0) continue;
@@ -178,7 +187,7 @@
     return;
   }
   if (std::erase_if(lingering_, [id](const Lingering& one) { return one.id == id; }) > 0) {
-    take_lingering(std::move(result));
+    take_lingering(std::move(result), now);
     return;
   }
   auto at = std::find(ids_.begin(), ids_.end(), id);
@@ -193,7 +202,11 @@
 /// drains that crossed its answer.
 void ListSubscription::take_former(Former& former, ListResult result, Micros now) {
   std::optional<HostList>& list = result.list;
-  if (!may_count(former.guard, list)) return;
+  if (!list) return;
+  if (!may_count(former.guard, list)) {
+    watch(now);
+    return;
+  }
   if (!list->whole && list->hosts.empty()) return;
   if (guard_.version().empty()) {
     schedule_.drop();
@@ -201,24 +214,25 @@
     handler_.on_hosts(std::move(*list));
     return;
   }
-  handler_.on_drains(*list, false);
-  ask_whole_ = true;
+  drain(*list, false);
   watch(now);
 }
 
 /// Told in the moment in which a later call was answered, or slowly: newer than what is held, or
 /// known.
-void ListSubscription::take_lingering(ListResult result) {
+void ListSubscription::take_lingering(ListResult result, Micros now) {
   std::optional<HostList>& list = result.list;
-  if (!list || !(version().empty() || guard_.newer(*list)) || !may_count(guard_, list)) return;
-  handler_.on_hosts(std::move(*list));
+  if (!list || !(version().empty() || guard_.newer(*list))) return;
+  if (may_count(guard_, list))
+    handler_.on_hosts(std::move(*list));
+  else
+    watch(now);
 }
 
 void ListSubscription::take(std::size_t slot, ListResult result, Micros now) {
   std::optional<HostList>& list = result.list;
   bool counts = may_count(guard_, list);
   if (!counts) {
-    if (list) ask_whole_ = true;
     Fault fault = list ? Fault::Unusable : result.fault;
     bool alone = schedule_.failed(now, static_cast<int>(slot), fault, chance());
     follow(now);
@@ -226,8 +240,9 @@
     if (alone) handler_.on_hosts_failed();
     return;
   }
-  // Only a whole list says what became of servers in an answer that was refused.
-  if (list->whole) ask_whole_ = false;
+  // Only a whole list says what became of servers in an answer that was refused, or what comes in
+  // its place.
+  if (list->whole || whole_asked_[slot]) ask_whole_ = false;
   if (!formers_.empty() && formers_until_ == CallSchedule::kNever) formers_until_ = now + kLinger;
   bool news = list->whole || !list->hosts.empty();
   schedule_.answered(now, static_cast<int>(slot), news, chance());
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -118,7 +118,9 @@
   void call(const CallSchedule::Call& call, Micros now);
   void take(std::size_t slot, ListResult result, Micros now);
   void take_former(Former& former, ListResult result, Micros now);
-  void take_lingering(ListResult result);
+  void take_lingering(ListResult result, Micros now);
+  /// Acts on what an answer says of servers that leave, and no more of it.
+  void drain(const HostList& list, bool unnamed_have_left);
   /// Whether the answer may change the list; says so where not.
   bool may_count(ListGuard& guard, std::optional<HostList>& list);
   void cancel_slot(std::size_t slot);
@@ -141,9 +143,10 @@
   CallSchedule schedule_;
   /// By slot of `schedule_`: the call that is out there.
   std::array<int, CallSchedule::kSlots> ids_;
-  std::vector<Former> formers_;                  // the last one left last
-  Micros formers_until_ = CallSchedule::kNever;  // once the new address has answered
-  std::vector<Lingering> lingering_;             // the oldest first
+  std::array<bool, CallSchedule::kSlots> whole_asked_{};  // by that call
+  std::vector<Former> formers_;                           // the last one left last
+  Micros formers_until_ = CallSchedule::kNever;           // once the new address has answered
+  std::vector<Lingering> lingering_;                      // the oldest first
   bool ask_whole_ = false;  // what is held may not be what discovery thinks it is
   int last_id_ = kNone;
   Micros look_at_ = CallSchedule::kNever;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -274,7 +274,7 @@
 }
 
 void Router::on_drains(const HostList& list, bool unnamed_have_left) {
-  HostList drains = drains_in(list, unnamed_have_left, hand_.listed());
+  HostList drains = drains_in(list, unnamed_have_left, hand_.told_hosts());
   if (!drains.hosts.empty()) apply(std::move(drains));
 }
 
--- a/tests/membership/list_subscription_test.cpp
+++ b/tests/membership/list_subscription_test.cpp
@@ -265,6 +265,57 @@
   EXPECT_FALSE(f.ready("a"));
 }
 
+TEST(ListSubscription, WhatALingeringAnswerDrainsThoughItIsRefusedIsAskedAbout) {
+  Fixture f;
+  f.answer(f.last(), list("11", false, {}));
+  f.pass(kMilli);
+  ListCall watch = f.last();
+  while (f.out.size() < 2) f.pass(100 * kMilli);
+  f.answer(f.last(), list("11", false, {}));
+  f.answer(watch, list("12", false, {host("a", Health::Draining), host("a")}));
+  EXPECT_FALSE(f.ready("a"));
+  EXPECT_EQ(f.last().path, "/discovery/hosts");
+}
+
+TEST(ListSubscription, WhatAFormerAddressDrainsThoughItIsRefusedIsAskedAbout) {
+  Fixture f;
+  f.answer(f.last(), list("11", false, {}));
+  f.pass(kSecond);
+  ListCall watch = f.last();
+  f.subscription.move_to("two:1", f.now);
+  f.answer(f.last(), list("1", true, {host("a"), host("b")}));
+  f.pass(10 * kMilli);
+  f.answer(watch, list("12", false, {host("a", Health::Draining), host("a")}));
+  EXPECT_FALSE(f.ready("a"));
+  EXPECT_EQ(f.last().path, "/discovery/hosts");
+}
+
+TEST(ListSubscription, ALingeringCallOfTheOldAddressIsNotTheNewOnesList) {
+  Fixture f;
+  f.answer(f.last(), list("11", false, {}));
+  f.pass(kMilli);
+  ListCall watch = f.last();
+  while (f.out.size() < 2) f.pass(100 * kMilli);
+  f.answer(f.last(), list("11", false, {}));  // the watch lingers
+  f.subscription.move_to("two:1", f.now);
+  f.answer(watch, list("12", false, {host("a", Health::Draining)}));
+  EXPECT_FALSE(f.ready("a"));
+  EXPECT_EQ(f.subscription.version(), "");
+  EXPECT_EQ(f.last().address, "two:1");
+  EXPECT_EQ(f.last().path, "/discovery/hosts");
+}
+
+// Discovery answers with a change where it was asked for the whole list.
+TEST(ListSubscription, AChangeInPlaceOfTheWholeListIsNotAskedForAgainWithoutEnd) {
+  Fixture f;
+  f.answer(f.last(), list("11", false, {host("a", Health::Draining), host("a")}));
+  ASSERT_TRUE(f.pass(50 * kMilli));
+  ASSERT_EQ(f.last().path, "/discovery/hosts");
+  f.answer(f.last(), list("11", false, {}));
+  f.pass(200 * kMilli);
+  EXPECT_NE(f.last().path.find("index=11"), std::string::npos);
+}
+
 TEST(ListSubscription, CallsThatAreNotWaitedForEndIn2Seconds) {
   Fixture f;
   f.answer(f.last(), list("11", false, {}));
