--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -72,17 +72,56 @@
 
 }  // namespace
 
+const char* name_of(Fault fault) {
+  switch (fault) {
+    case Fault::Refused:
+      return "refused";
+    case Fault::Spoilt:
+      return "spoilt";
+    case Fault::Unusable:
+      return "unusable";
+    case Fault::TimedOut:
+      return "timed_out";
+  }
+  return "";
+}
+
+const char* name_of(DeadlineReason reason) {
+  switch (reason) {
+    case DeadlineReason::None:
+      return "none";
+    case DeadlineReason::HeldList:
+      return "held_list";
+    case DeadlineReason::SilentCall:
+      return "silent_call";
+    case DeadlineReason::FailedCall:
+      return "failed_call";
+    case DeadlineReason::Spoilt:
+      return "spoilt_answer";
+    case DeadlineReason::Moved:
+      return "moved";
+  }
+  return "";
+}
+
 double CallSchedule::tier_calls() const { return kCall * std::max(1, routers_); }
 
 void CallSchedule::stretch(double by) { stretch_ = std::clamp(stretch_ * by, 1.0, kMostStretch); }
 
-void CallSchedule::add_deadline(Micros deadline) {
-  deadline_ = deadline_ == kNever ? deadline : std::min(deadline_, deadline);
+void CallSchedule::add_deadline(Micros deadline, DeadlineReason reason) {
+  if (deadline_ != kNever && deadline_ <= deadline) return;
+  deadline_ = deadline;
+  deadline_reason_ = reason;
+}
+
+void CallSchedule::clear_deadlines() {
+  deadline_ = moved_deadline_ = kNever;
+  deadline_reason_ = DeadlineReason::None;
 }
 
 void CallSchedule::add_deadlines_of_calls() {
   for (const One& one : calls_)
-    if (one.out) add_deadline(deadline_of(one.begun, one.wait));
+    if (one.out) add_deadline(deadline_of(one.begun, one.wait), DeadlineReason::SilentCall);
 }
 
 Micros CallSchedule::hurry(Micros now) const {
@@ -115,7 +154,8 @@
 
 CallSchedule::Call CallSchedule::make(Micros now, bool watches, double chance) {
   std::size_t slot = free_slot(now);
-  if (calls_[slot].out) add_deadline(deadline_of(calls_[slot].begun, calls_[slot].wait));
+  if (calls_[slot].out)
+    add_deadline(deadline_of(calls_[slot].begun, calls_[slot].wait), DeadlineReason::SilentCall);
   Micros wait = 0;
   if (watches)
     wait = pushed_ ? agent_wait()
@@ -153,13 +193,13 @@
   return make(now, false, chance);
 }
 
-void CallSchedule::hold(Micros now) { add_deadline(now + kTold); }
+void CallSchedule::hold(Micros now) { add_deadline(now + kTold, DeadlineReason::HeldList); }
 
 void CallSchedule::move(Micros now, Micros within) {
   drop();
   failures_ = 0;
   moved_deadline_ = now + within;
-  add_deadline(moved_deadline_);
+  add_deadline(moved_deadline_, DeadlineReason::Moved);
 }
 
 void CallSchedule::drop_before(Micros begun) {
@@ -176,7 +216,7 @@
   drop_before(was.begun);
   failures_ = unusable_ = 0;
   answered_at_ = now;
-  deadline_ = moved_deadline_ = kNever;
+  clear_deadlines();
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
   // A watch with gaps is a new one.
@@ -217,7 +257,8 @@
     if (!other.out) continue;
     others = true;
     // It may be silent: one that this call was to find out about.
-    if (other.begun < was.begun) add_deadline(deadline_of(other.begun, other.wait));
+    if (other.begun < was.begun)
+      add_deadline(deadline_of(other.begun, other.wait), DeadlineReason::SilentCall);
   }
   // A watch that was up has told all until it ended, unless it had fallen silent before. One that
   // ended at once may have missed what came right behind the last answer, and a call for the list
@@ -227,13 +268,14 @@
                 : answered_at_ == kNever         ? was.begun
                                                  : answered_at_;
   if (fault == Fault::Spoilt || fault == Fault::Unusable)
-    add_deadline(now + kSpoiltTold);
+    add_deadline(now + kSpoiltTold, DeadlineReason::Spoilt);
   else if (!others)
-    add_deadline(std::min(deadline_of(was.begun, was.wait), from + kTold));
+    add_deadline(std::min(deadline_of(was.begun, was.wait), from + kTold),
+                 DeadlineReason::FailedCall);
   else if (fault == Fault::TimedOut)
-    add_deadline(deadline_of(was.begun, was.wait));
+    add_deadline(deadline_of(was.begun, was.wait), DeadlineReason::SilentCall);
   else  // what is out may be silent, and after a call that failed what it misses counts so soon
-    add_deadline(now + kTold);
+    add_deadline(now + kTold, DeadlineReason::FailedCall);
   // The later call that is out has its own time; this one is made again before that.
   // Turned away after it had waited: discovery lives and has too many callers. Whoever presses it
   // then only takes the turn of one whose watch may be silent.
@@ -255,7 +297,8 @@
 
 void CallSchedule::stop() {
   calls_ = {};
-  next_ = deadline_ = moved_deadline_ = kNever;
+  next_ = kNever;
+  clear_deadlines();
   failures_ = 0;
 }
 
--- a/src/membership/call_schedule.hpp
+++ b/src/membership/call_schedule.hpp
@@ -25,6 +25,18 @@
   Unusable,  ///< a whole answer that can be read and may not change the list: a better one is near
   TimedOut   ///< given up: nothing was heard
 };
+const char* name_of(Fault fault);
+
+/// Why something may count as told that has not been heard.
+enum class DeadlineReason {
+  None,
+  HeldList,    ///< the list that was handed over may be old
+  SilentCall,  ///< a call that is out, or was given up, may have missed a change
+  FailedCall,  ///< a call was refused, reset or unreachable
+  Spoilt,      ///< an answer broke off or may not change the list
+  Moved,       ///< another address of discovery has not answered yet
+};
+const char* name_of(DeadlineReason reason);
 
 class CallSchedule {
  public:
@@ -73,6 +85,7 @@
   bool out(int slot) const { return calls_[static_cast<std::size_t>(slot)].out; }
   /// By when another call must have been answered; kNever: there is none.
   Micros deadline() const { return deadline_; }
+  DeadlineReason deadline_reason() const { return deadline_reason_; }
   /// Something may count as told that has not been heard: the held list may be too old.
   bool overdue(Micros now) const { return deadline_ != kNever && now > deadline_; }
 
@@ -84,7 +97,8 @@
   };
   Call make(Micros now, bool watches, double chance);
   std::size_t free_slot(Micros now) const;
-  void add_deadline(Micros deadline);
+  void add_deadline(Micros deadline, DeadlineReason reason);
+  void clear_deadlines();
   /// Those of the calls that are out.
   void add_deadlines_of_calls();
   /// What calls are hurried for; kNever: nothing. Past its deadline a router may be one of many
@@ -105,7 +119,8 @@
   Micros grace_;
   std::array<One, kSlots> calls_{};
   Micros next_ = kNever;
-  Micros deadline_ = kNever;        // the earliest; a later one does not replace it
+  Micros deadline_ = kNever;  // the earliest; a later one does not replace it
+  DeadlineReason deadline_reason_ = DeadlineReason::None;
   Micros moved_deadline_ = kNever;  // of another address
   Micros answered_at_ = kNever;
   bool next_watches_ = false;  // what next_ begins: a watch, or a call that is answered at once
--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -40,6 +40,20 @@
 
 }  // namespace
 
+const char* name_of(CancelReason reason) {
+  switch (reason) {
+    case CancelReason::Replaced:
+      return "replaced";
+    case CancelReason::Settled:
+      return "settled";
+    case CancelReason::Moved:
+      return "moved";
+    case CancelReason::Stopped:
+      return "stopped";
+  }
+  return "";
+}
+
 ListSubscription::ListSubscription(const std::string& address, const HostList& known,
                                    const Options& options, Micros now, ListTransport& transport,
                                    Handler& handler)
@@ -92,14 +106,14 @@
 void ListSubscription::stop() {
   schedule_.stop();
   look_at_ = CallSchedule::kNever;
-  for (std::size_t slot = 0; slot < ids_.size(); ++slot) cancel_slot(slot);
+  for (std::size_t slot = 0; slot < ids_.size(); ++slot) cancel_slot(slot, CancelReason::Stopped);
   while (!lingering_.empty()) cancel_lingering();
   cancel_formers();
 }
 
 void ListSubscription::call(const CallSchedule::Call& call, Micros now) {
   auto slot = static_cast<std::size_t>(call.slot);
-  cancel_slot(slot);
+  cancel_slot(slot, CancelReason::Replaced);
   ListCall out;
   out.id = ids_[slot] = ++last_id_;
   out.address = address_;
@@ -115,9 +129,9 @@
   follow(now);
 }
 
-void ListSubscription::cancel_slot(std::size_t slot) {
+void ListSubscription::cancel_slot(std::size_t slot, CancelReason reason) {
   int id = std::exchange(ids_[slot], kNone);
-  if (id != kNone) transport_.cancel(id);
+  if (id != kNone) transport_.cancel(id, reason);
 }
 
 std::size_t ListSubscription::former_calls() const {
@@ -127,7 +141,7 @@
 }
 
 void ListSubscription::cancel_former(std::size_t which) {
-  for (int id : formers_[which].ids) transport_.cancel(id);
+  for (int id : formers_[which].ids) transport_.cancel(id, CancelReason::Moved);
   formers_.erase(formers_.begin() + static_cast<std::ptrdiff_t>(which));
 }
 
@@ -147,7 +161,7 @@
 }
 
 void ListSubscription::cancel_lingering() {
-  transport_.cancel(lingering_.front().id);
+  transport_.cancel(lingering_.front().id, CancelReason::Settled);
   lingering_.erase(lingering_.begin());
 }
 
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -32,13 +32,22 @@
   bool may_come = false;
 };
 
+/// Why a call that is out is given up.
+enum class CancelReason {
+  Replaced,  ///< its slot is needed for a new call
+  Settled,   ///< a later call was answered, and this one has been heard out
+  Moved,     ///< its address was left
+  Stopped,   ///< the subscription ends
+};
+const char* name_of(CancelReason reason);
+
 /// Makes the calls of a subscription. Each call that is started ends in one
 /// ListSubscription::ended(), unless it is cancelled before.
 class ListTransport {
  public:
   virtual ~ListTransport() = default;
   virtual void start(const ListCall& call) = 0;
-  virtual void cancel(int id) = 0;
+  virtual void cancel(int id, CancelReason reason) = 0;
 };
 
 class ListSubscription {
@@ -93,6 +102,11 @@
   bool planned() const { return schedule_.next() != CallSchedule::kNever; }
   /// Something that discovery had to tell may count as told by now and has not been heard.
   bool overdue(Micros now) const { return schedule_.overdue(now); }
+  /// The earliest such moment and why; CallSchedule::kNever: there is none.
+  Micros deadline() const { return schedule_.deadline(); }
+  robinseam::membership::DeadlineReason deadline_reason() const {
+    return schedule_.deadline_reason();
+  }
   /// The version of the list that is held; empty before the first.
   const std::string& version() const { return guard_.version(); }
 
@@ -123,7 +137,7 @@
   void drain(const HostList& list, bool unnamed_have_left);
   /// Whether the answer may change the list; says so where not.
   bool may_count(ListGuard& guard, std::optional<HostList>& list);
-  void cancel_slot(std::size_t slot);
+  void cancel_slot(std::size_t slot, CancelReason reason);
   /// The call in the slot is out still and not waited for.
   void linger(std::size_t slot, Micros now);
   void hear_out(int id, Micros now);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -21,10 +21,13 @@
 constexpr ev_ssize_t kMaxBody = 2 << 20;
 constexpr ev_ssize_t kMaxHeaders = 16 << 10;
 
+// Lines about calls: what a restart or an outage brings in its first seconds, then one a second.
+constexpr double kCallLines = 40, kCallLinesPerSecond = 1;
+
 }  // namespace
 
-DiscoveryCall::DiscoveryCall(event_base* base, Counts& counts, Done done)
-    : base_(base), counts_(counts), done_(std::move(done)) {
+DiscoveryCall::DiscoveryCall(event_base* base, const TimeSource& clock, Counts& counts, Done done)
+    : base_(base), clock_(clock), counts_(counts), done_(std::move(done)) {
   ready_.reset(event_new(base, -1, 0, on_ready, this));
 }
 
@@ -46,6 +49,7 @@
   std::uint16_t port = parsed ? ntohs(parsed->sin_port) : 0;
   fault_ = Fault::Refused;
   begun_ = stalled_ = false;
+  trace_ = {call.path, clock_.now(), 0, 0};
   ++counts_.calls;
   connection_.reset(evhttp_connection_base_new(base_, nullptr, host.c_str(), port));
   evhttp_request* request = connection_ ? evhttp_request_new(on_answer, this) : nullptr;
@@ -74,6 +78,7 @@
 void DiscoveryCall::on_bytes(evbuffer*, const evbuffer_cb_info* info, void* self) {
   auto* call = static_cast<DiscoveryCall*>(self);
   if (info->n_added == 0 || std::exchange(call->begun_, true)) return;
+  call->trace_.first_byte = call->clock_.now();
   timeval limit = timeval_of(std::min(call->limit_, kAnswerTime));
   event_add(call->ready_.get(), &limit);
 }
@@ -82,6 +87,7 @@
   auto* call = static_cast<DiscoveryCall*>(self);
   call->result_.reset();
   call->request_ = nullptr;
+  if (request) call->trace_.status = evhttp_request_get_response_code(request);
   if (request && evhttp_request_get_response_code(request) == 200) {
     evbuffer* body = evhttp_request_get_input_buffer(request);
     std::size_t size = evbuffer_get_length(body);
@@ -130,7 +136,10 @@
     call->stall();
     return;
   }
-  if (what & EV_TIMEOUT) call->fault_ = Fault::TimedOut;
+  if (what & EV_TIMEOUT) {
+    call->fault_ = Fault::TimedOut;
+    call->counts_.timed_out += !call->stalled_;
+  }
   call->connection_.reset();
   call->request_ = nullptr;
   std::optional<HostList> result = std::exchange(call->result_, std::nullopt);
@@ -141,7 +150,7 @@
 Discovery::Discovery(event_base* base, const TimeSource& clock, const std::string& address,
                      const HostList& known, const ListSubscription::Options& options,
                      Handler& handler)
-    : base_(base), clock_(clock), handler_(handler) {
+    : base_(base), clock_(clock), handler_(handler), call_lines_(kCallLines, kCallLinesPerSecond) {
   due_.reset(event_new(base, -1, 0, on_due, this));
   subscription_ = std::make_unique<ListSubscription>(
       address, known, options, clock_.now(), static_cast<ListTransport&>(*this),
@@ -181,18 +190,52 @@
       std::find_if(calls_.begin(), calls_.end(), [](const auto& one) { return !one->out(); });
   if (free == calls_.end()) {
     auto done = [this](int id, ListResult result) {
+      log_end(id, result);
       subscription_->ended(id, std::move(result), clock_.now());
       arm();
     };
-    calls_.push_back(std::make_unique<DiscoveryCall>(base_, counts_, done));
+    calls_.push_back(std::make_unique<DiscoveryCall>(base_, clock_, counts_, done));
     free = calls_.end() - 1;
   }
   (*free)->start(call);
 }
 
-void Discovery::cancel(int id) {
-  for (auto& call : calls_)
-    if (call->out() && call->id() == id) call->stop();
+void Discovery::cancel(int id, CancelReason reason) {
+  for (auto& call : calls_) {
+    if (!call->out() || call->id() != id) continue;
+    ++counts_.cancelled;
+    log_call(*call, name_of(reason), nullptr);
+    call->stop();
+  }
+}
+
+void Discovery::log_end(int id, const ListResult& result) {
+  auto of_id = [id](const auto& one) { return one->id() == id; };
+  auto call = std::find_if(calls_.begin(), calls_.end(), of_id);
+  if (call == calls_.end()) return;
+  const HostList* list = result.list ? &*result.list : nullptr;
+  log_call(**call, list ? "answered" : name_of(result.fault), list);
+}
+
+void Discovery::log_call(const DiscoveryCall& call, const char* end, const HostList* list) {
+  Micros now = clock_.now();
+  if (!call_lines_.allow(now)) return;
+  const DiscoveryCall::Trace& trace = call.trace();
+  std::string query = trace.path.substr(std::min(trace.path.find('?'), trace.path.size()));
+  std::string text = "call=" + std::to_string(call.id()) + " query=" + query + " end=" + end;
+  text += " took_ms=" + std::to_string((now - trace.begun) / kMillisecond);
+  if (trace.first_byte > 0)
+    text += " first_byte_ms=" + std::to_string((trace.first_byte - trace.begun) / kMillisecond);
+  if (trace.status != 0) text += " status=" + std::to_string(trace.status);
+  if (list) {
+    auto leaves = [](const Host& h) { return h.server.health != robinseam::Health::Ready; };
+    text += " seq=" + list->version + (list->whole ? " whole=" : " changed=") +
+            std::to_string(list->hosts.size()) + " leaving=" +
+            std::to_string(std::count_if(list->hosts.begin(), list->hosts.end(), leaves));
+  }
+  if (auto missing = call_lines_.take_suppressed())
+    text += " suppressed=" + std::to_string(missing);
+  std::fprintf(stderr, "arrowfork: discovery: %s\n", text.c_str());
 }
 
 void Discovery::on_hosts(HostList&& list) {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -12,6 +12,7 @@
 
 #include "../io/clock.hpp"
 #include "../io/io.hpp"
+#include "../io/log_limit.hpp"
 #include "../membership/list_subscription.hpp"
 #include "config.hpp"
 
@@ -27,8 +28,17 @@
   struct Counts {
     std::uint64_t calls = 0, failed = 0;
     std::uint64_t bad = 0;  ///< of the failed, those that brought what is no list or may not count
+    std::uint64_t timed_out = 0;  ///< of the failed, those of which nothing was heard
+    std::uint64_t cancelled = 0;  ///< given up before their time was over
   };
-  DiscoveryCall(event_base* base, Counts& counts, Done done);
+  /// What was seen of a call, for the log.
+  struct Trace {
+    std::string path;
+    Micros begun = 0;
+    Micros first_byte = 0;  ///< 0: none has come
+    int status = 0;         ///< of HTTP; 0: no head has come
+  };
+  DiscoveryCall(event_base* base, const TimeSource& clock, Counts& counts, Done done);
   ~DiscoveryCall();
   DiscoveryCall(const DiscoveryCall&) = delete;
   DiscoveryCall& operator=(const DiscoveryCall&) = delete;
@@ -38,6 +48,7 @@
   /// A call is under way.
   bool out() const { return connection_ != nullptr; }
   int id() const { return id_; }
+  const Trace& trace() const { return trace_; }
 
  private:
   static void on_answer(evhttp_request* request, void* self);
@@ -51,7 +62,9 @@
     void operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
   };
   event_base* base_;
+  const TimeSource& clock_;
   std::string authority_;
+  Trace trace_;
   Counts& counts_;
   Done done_;
   std::unique_ptr<evhttp_connection, ConnectionFree> connection_;
@@ -92,12 +105,14 @@
   void stop();
   const std::string& version() const { return subscription_->version(); }
   bool overdue() const { return subscription_->overdue(clock_.now()); }
+  Micros deadline() const { return subscription_->deadline(); }
+  const char* deadline_reason() const { return name_of(subscription_->deadline_reason()); }
   const DiscoveryCall::Counts& counts() const { return counts_; }
 
  private:
   // ListTransport
   void start(const ListCall& call) override;
-  void cancel(int id) override;
+  void cancel(int id, CancelReason reason) override;
   // ListSubscription::Handler
   void on_hosts(HostList&& list) override;
   void on_call_failed() override { handler_.on_call_failed(); }
@@ -106,6 +121,9 @@
   void on_drains(const HostList& list, bool unnamed_have_left) override {
     handler_.on_drains(list, unnamed_have_left);
   }
+  void log_end(int id, const ListResult& result);
+  /// One line for a call that has ended or was given up. `list`: its answer.
+  void log_call(const DiscoveryCall& call, const char* end, const HostList* list);
   /// Sets the timer to the subscription's next time.
   void arm();
   static void on_due(evutil_socket_t, short, void* self);
@@ -118,6 +136,7 @@
   /// its end.
   std::vector<std::unique_ptr<DiscoveryCall>> calls_;
   EventPtr due_;
+  LogLimit call_lines_;
   std::string refused_for_;  // the reason that was logged last, until a list is taken
   std::unique_ptr<ListSubscription> subscription_;  // last: it makes calls as it begins
 };
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -155,6 +155,7 @@
   servers_.take_list(known);
   core_.start(servers_of(known), config_.known_is_doubted);
   recovery_.handed(clock_.now(), any_ready());
+  log_settings();
   pulse_event_.reset(event_new(base, -1, EV_PERSIST, on_pulse, this));
   timeval pulse = timeval_of(kPulse);
   event_add(pulse_event_.get(), &pulse);
@@ -286,7 +287,8 @@
 }
 
 /// The module's pace is for a router that has nothing to send to. With a list in hand the next call
-/// is by the one budget (src/membership/call_schedule), which a second plan beside it would only double.
+/// is by the one budget (src/membership/call_schedule), which a second plan beside it would only
+/// double.
 void Router::watch() {
   if (!(any_ready() && discovery_.planned())) discovery_.watch();
 }
@@ -366,10 +368,17 @@
 void Router::note_overdue() {
   bool overdue = discovery_.overdue();
   if (overdue == std::exchange(told_overdue_, overdue)) return;
-  std::fprintf(stderr, "arrowfork: discovery: %s; list %s\n",
-               overdue ? "no answer in the time in which changes count as told"
-                       : "answers again, the list is of now",
-               discovery_.version().empty() ? "none" : discovery_.version().c_str());
+  const char* version = discovery_.version().empty() ? "none" : discovery_.version().c_str();
+  if (!overdue) {
+    std::fprintf(stderr, "arrowfork: discovery: answers again, the list is of now; list %s\n",
+                 version);
+    return;
+  }
+  double late = static_cast<double>(clock_.now() - discovery_.deadline()) / kSecond;
+  std::fprintf(stderr,
+               "arrowfork: discovery: no answer in the time in which changes count as told; "
+               "list %s; reason=%s passed %.2f s ago\n",
+               version, discovery_.deadline_reason(), late);
 }
 
 // ---- operators ----
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -98,6 +98,8 @@
   static void on_tick(evutil_socket_t, short, void* self);
   static void on_timer(evutil_socket_t, short, void* self);
   static void on_stop_step(evutil_socket_t, short, void* self);
+  /// The settings that decide when changes of the list count as told.
+  void log_settings() const;
   /// The log's lines: figures, servers at which anything but answers came, servers that go or
   /// return.
   void log_servers();
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -24,12 +24,22 @@
   const ServerSide::Counts& s = servers_.counts();
   const DiscoveryCall::Counts& d = discovery_.counts();
   const robinseam::Balancer::Stats m = core_.module_stats();
+  robinseam::recovery::Recovery::View back = recovery_.view(clock_.now());
   std::vector<std::pair<std::string, std::string>> all;
   auto add = [&](const char* name, auto value) { all.emplace_back(name, std::to_string(value)); };
   auto part = [&](const char* name, double value) { all.emplace_back(name, text_of(value)); };
   add("time", clock_.now() / kSecond);
   add("time_ms", clock_.now() / kMillisecond);
   add("uptime_ms", (clock_.now() - born_) / kMillisecond);
+  // Early in the line: a collector may cut long lines.
+  all.emplace_back("list_version", discovery_.version().empty() ? "none" : discovery_.version());
+  add("list_age_ms", back.list_age < 0 ? -1 : back.list_age / kMillisecond);
+  add("list_old", list_is_old(back) ? 1 : 0);
+  add("discovery_calls", d.calls);
+  add("discovery_calls_failed", d.failed);
+  add("discovery_answers_bad", d.bad);
+  add("discovery_calls_timed_out", d.timed_out);
+  add("discovery_calls_cancelled", d.cancelled);
   add("requests", c.requests);
   add("open_requests", core_.open_requests());
   add("refused", c.refused);
@@ -70,19 +80,12 @@
   add("server_garbage", s.garbage);
   add("server_late_answers", s.late_answers);
   add("server_wrong_protocol", s.wrong_protocol);
-  add("discovery_calls", d.calls);
-  add("discovery_calls_failed", d.failed);
-  add("discovery_answers_bad", d.bad);
-  robinseam::recovery::Recovery::View back = recovery_.view(clock_.now());
   all.emplace_back("recovery", robinseam::recovery::name_of(back.phase));
   add("recovery_since_ms", (clock_.now() - back.since) / kMillisecond);
   const char* const company[] = {"unknown", "alone", "together"};
   all.emplace_back("came_back", company[m.came_back]);
   add("writes_known", m.writes_known);
   add("writes_forgotten", m.writes_forgotten);
-  all.emplace_back("list_version", discovery_.version().empty() ? "none" : discovery_.version());
-  add("list_age_ms", back.list_age < 0 ? -1 : back.list_age / kMillisecond);
-  add("list_old", list_is_old(back) ? 1 : 0);
   add("servers", m.servers);
   part("servers_live", m.live);
   part("near", m.near_pull);
@@ -105,6 +108,19 @@
   return all;
 }
 
+void Router::log_settings() const {
+  const robinseam::Settings& s = config_.settings;
+  std::fprintf(stderr,
+               "arrowfork: settings: routers=%d lists=%s ask_within_ms=%lld drain_grace_ms=%lld "
+               "longest_deadline_ms=%lld list=%s servers=%zu doubted=%d\n",
+               s.routers, s.must_ask ? "asked" : "pushed",
+               static_cast<long long>(s.ask_within / kMillisecond),
+               static_cast<long long>(s.drain_grace / kMillisecond),
+               static_cast<long long>(core_.longest_deadline() / kMillisecond),
+               config_.known.version.empty() ? "none" : config_.known.version.c_str(),
+               config_.known.hosts.size(), config_.known_is_doubted ? 1 : 0);
+}
+
 void Router::on_log(evutil_socket_t, short, void* self) {
   auto* r = static_cast<Router*>(self);
   std::string line = "arrowfork: figures";
--- a/tests/membership/discovery_world.hpp
+++ b/tests/membership/discovery_world.hpp
@@ -305,7 +305,7 @@
       later(call.limit, [this, id = call.id] { fail(id, Fault::TimedOut); });
       later_outside(kNetwork, call.id, [this, id = call.id] { arrives(id); });
     }
-    void cancel(int id) override { out.erase(id); }
+    void cancel(int id, CancelReason) override { out.erase(id); }
 
     // ---- discovery's side of a call ----
 
--- a/tests/membership/list_subscription_test.cpp
+++ b/tests/membership/list_subscription_test.cpp
@@ -37,7 +37,7 @@
   static HostList held_first() { return list("10", true, {host("a"), host("b")}); }
 
   void start(const ListCall& call) override { out.push_back(call); }
-  void cancel(int id) override {
+  void cancel(int id, CancelReason = CancelReason::Settled) override {
     std::erase_if(out, [id](const ListCall& call) { return call.id == id; });
   }
   void on_hosts(HostList&& told) override {
