--- a/src/tier/checker.cpp
+++ b/src/tier/checker.cpp
@@ -7,6 +7,8 @@
 #include <map>
 #include <unordered_map>
 
+#include "../judge/drain_judge.hpp"
+
 namespace arrowfork::tier {
 namespace {
 
@@ -14,10 +16,6 @@
 
 constexpr Micros kBefore = 10 * kSecond;  // what service is held against
 constexpr Micros kOver = 2 * kSecond;     // service is full again over so long
-// A change counts as told so long after discovery had it and could be reached.
-constexpr Micros kTold = 6 * kSecond;
-// After SIGHUP with another address.
-constexpr Micros kToldAfterHangup = 4 * kSecond;
 constexpr Micros kStep = 100 * kMillisecond;
 constexpr double kAsBefore = 0.98, kMoreLate = 0.05;
 
@@ -249,75 +247,89 @@
           static_cast<double>(lost + wrong + open)};
 }
 
-/// Rule 3, by router: told is what discovery has written to it, or deemed told: 6 s after discovery
-/// had it and could be reached, whatever became of calls, what a silent watch misses at its time,
-/// and what another address has 4 s after the first SIGHUP that it has not answered since. A
-/// process that starts later than that is told from its first moment.
+/// Rule 3, each router by a judge of its own.
 Verdict Checker::drains() const {
-  struct Change {
-    std::int64_t version;
-    Micros at;
-  };
-  std::map<int, Change> leaving;                     // by cache
-  std::map<std::pair<int, int>, Micros> told;        // router, cache
+  using judge::DrainRecord;
+  judge::DrainRules rules;
+  rules.pushed = scenario_.pushed;
+  rules.grace = figures_.drain_grace;
+  rules.ask_within = scenario_.ask_within;
+  rules.slack = scenario_.slack;
+  rules.first_call = 0;
+  std::vector<judge::DrainJudge> judges(static_cast<std::size_t>(scenario_.routers),
+                                        judge::DrainJudge(rules));
+  std::vector<bool> reaches(judges.size(), true);
+  bool up = true;
   std::unordered_map<std::uint64_t, int> router_of;  // by try
-  std::map<int, Micros> muted;                       // router: what it misses counts then
-  std::map<int, Micros> moved;                       // router: what another address has counts then
-  std::map<int, Micros> started;                     // router: its process, this time
-  // Since when discovery can be reached, by router and (-1) by any; -1: it can't.
-  std::map<int, Micros> reach;
   int broken = 0;
-  Micros limit = figures_.drain_grace + scenario_.slack;
   std::string first;
+  auto of = [&](int router) -> judge::DrainJudge& {
+    return judges.at(static_cast<std::size_t>(router));
+  };
+  auto all = [&](const DrainRecord& record) {
+    for (judge::DrainJudge& one : judges) static_cast<void>(one.take(record));
+  };
+  auto one = [&](int router, DrainRecord::What what, Micros at) {
+    static_cast<void>(of(router).take({at, what}));
+  };
+  auto reach = [&](const Event& e) {
+    for (std::size_t r = 0; r < judges.size(); ++r) {
+      bool before = up && reaches[r];
+      bool meant = e.router < 0 || static_cast<std::size_t>(e.router) == r;
+      if (!meant) continue;
+      bool now = e.router < 0 ? e.flag && reaches[r] : up && e.flag;
+      if (e.router >= 0) reaches[r] = e.flag;
+      if (before != now)
+        one(static_cast<int>(r),
+            now ? DrainRecord::What::Reachable : DrainRecord::What::Unreachable, e.at);
+    }
+    if (e.router < 0) up = e.flag;
+  };
   for (const Event& e : events_) {
-    if (e.what == What::Asked) router_of[e.id] = e.router;
-    if (e.what == What::Listed) {
-      if (e.further == Event::Active) {
-        leaving.erase(e.cache);
-        std::erase_if(told, [&](const auto& one) { return one.first.second == e.cache; });
-      } else {
-        leaving.try_emplace(e.cache, Change{e.value, e.at});
+    switch (e.what) {
+      case What::Asked:
+        router_of[e.id] = e.router;
+        break;
+      case What::Listed:
+        all({e.at,
+             e.further == Event::Active ? DrainRecord::What::Returns : DrainRecord::What::Leaves,
+             e.cache, 0, e.value});
+        break;
+      case What::Reach:
+        reach(e);
+        break;
+      case What::Called:
+        one(e.router, DrainRecord::What::Called, e.at);
+        break;
+      case What::Told:
+        static_cast<void>(of(e.router).take(
+            {e.at, e.value > 0 ? DrainRecord::What::Written : DrainRecord::What::CallFailed, -1, 0,
+             e.value}));
+        break;
+      case What::Muted:  // noted with the time at which it counts
+        static_cast<void>(of(e.router).take(
+            {e.at, DrainRecord::What::Muted, -1, e.value - judge::DrainJudge::kAfterWait}));
+        break;
+      case What::Moved:
+        one(e.router, DrainRecord::What::Hangup, e.at);
+        break;
+      case What::Started:
+        // The first starts lie before the load, whose begin is the origin of times.
+        if (e.at < scenario_.lasts) one(e.router, DrainRecord::What::Started, e.at);
+        break;
+      case What::Begun: {
+        auto who = router_of.find(e.id);
+        if (who == router_of.end()) break;
+        auto found = of(who->second).take({e.at, DrainRecord::What::Sent, e.cache});
+        if (!found || broken++ > 0) break;
+        first = "; the first by router " + std::to_string(who->second) + " to cache " +
+                std::to_string(e.cache) + " at " + shown(seconds(e.at)) + " s, told at " +
+                shown(seconds(found->told)) + " s: " + text_of(found->sentence);
+        break;
       }
+      default:
+        break;
     }
-    if (e.what == What::Reach) reach[e.router] = e.flag ? e.at : -1;
-    if (e.what == What::Moved) moved.try_emplace(e.router, e.at + kToldAfterHangup);
-    // The first starts lie before the load, whose begin is the origin of times.
-    if (e.what == What::Started && e.at < scenario_.lasts) started[e.router] = e.at;
-    if (e.what == What::Muted) muted.try_emplace(e.router, e.value);
-    // Any answer tells what was missed; a process that starts begins anew.
-    if ((e.what == What::Told && e.value > 0) || e.what == What::Started)
-      muted.erase(e.router), moved.erase(e.router);
-    if (e.what == What::Told && e.value > 0)
-      for (const auto& [cache, change] : leaving)
-        if (e.value >= change.version) told.try_emplace({e.router, cache}, e.at);
-    // Nothing a process was told outlives it.
-    if (e.what == What::Started)
-      std::erase_if(told, [&](const auto& one) { return one.first.first == e.router; });
-    if (e.what != What::Begun) continue;
-    auto change = leaving.find(e.cache);
-    auto who = router_of.find(e.id);
-    if (change == leaving.end() || who == router_of.end()) continue;
-    auto missed = muted.find(who->second);
-    auto since = [&](int router) {
-      auto at = reach.find(router);
-      return at == reach.end() ? 0 : at->second;
-    };
-    Micros here = since(who->second), any = since(-1);
-    Micros counts = std::max({change->second.at, here, any}) + kTold;
-    if (missed != muted.end())
-      counts = std::max(missed->second, change->second.at);
-    else if (here < 0 || any < 0)
-      counts = e.at;  // not yet
-    else if (auto at = moved.find(who->second); at != moved.end())
-      counts = std::min(counts, std::max({at->second, change->second.at, here, any}));
-    counts = std::max(counts, started[who->second]);
-    if (e.at > counts) told.try_emplace({who->second, e.cache}, counts);
-    auto known = told.find({who->second, e.cache});
-    if (known == told.end() || e.at - known->second <= limit) continue;
-    if (broken++ == 0)
-      first = "; the first by router " + std::to_string(who->second) + " to cache " +
-              std::to_string(e.cache) + " at " + shown(seconds(e.at)) + " s, told at " +
-              shown(seconds(known->second)) + " s";
   }
   return {broken == 0,
           "3  nothing new to a server " + shown(seconds(figures_.drain_grace)) +
--- a/src/tier/scenario.cpp
+++ b/src/tier/scenario.cpp
@@ -275,8 +275,10 @@
       r.span("work", s.origin_work, 100, 10 * kSecond);
     });
     t.table("discovery", [&](TableReader& r) {
-      r.span("work", s.discovery_work, 0, kLongest);
-      r.span("most_wait", s.discovery_wait, 0, kLongest);
+      r.span("work", s.discovery_capacity.work, 0, kLongest);
+      r.span("most_wait", s.discovery_capacity.most_wait, 0, kLongest);
+      r.integer("line", s.discovery_capacity.line, 0, 10'000);
+      r.flag("works_on_expired", s.discovery_capacity.works_on_expired);
       r.flag("pushed", s.pushed);
     });
     t.table("load", [&](TableReader& r) {
--- a/src/tier/stage.cpp
+++ b/src/tier/stage.cpp
@@ -92,7 +92,7 @@
 
 void Stage::start_caches() {
   world_ = std::make_unique<rig::ModelWorld>(base_.get(), clock_, day_.fleet, s_.seed * 2 + 1);
-  discovery_.set_capacity(s_.discovery_work, s_.discovery_wait);
+  discovery_.set_capacity(s_.discovery_capacity);
   for (auto& model : world_->fleet().servers()) {
     if (s_.warm)
       for (int k = std::min(s_.keeps, s_.keys); k-- > 0;) model->hold("k" + std::to_string(k));
@@ -222,9 +222,12 @@
 }
 
 void Stage::set_discovery(const Action& a) {
-  if (a.work >= 0 || a.most_wait >= 0)
-    discovery_.set_capacity(a.work >= 0 ? a.work : s_.discovery_work,
-                            a.most_wait >= 0 ? a.most_wait : s_.discovery_wait);
+  if (a.work >= 0 || a.most_wait >= 0) {
+    rig::DiscoveryServer::Capacity capacity = s_.discovery_capacity;
+    if (a.work >= 0) capacity.work = a.work;
+    if (a.most_wait >= 0) capacity.most_wait = a.most_wait;
+    discovery_.set_capacity(capacity);
+  }
   if (a.discovery == "forget") {
     discovery_.forget();
     for (std::size_t k = 0; k < caches_.size(); ++k)
@@ -505,7 +508,7 @@
         in(a.lasts, [this] {
           note_reach(-1, true);
           discovery_.set_fault(rig::DiscoveryFault::None);
-          discovery_.set_capacity(s_.discovery_work, s_.discovery_wait);
+          discovery_.set_capacity(s_.discovery_capacity);
         });
       return;
     case Verb::Origin:
