--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -32,6 +32,15 @@
 // Discovery answers, or fails what it can't do in time, within 2 s: of what takes longer nothing
 // will be heard, and before that a second call would only lengthen its queue.
 constexpr Micros kHeardWithin = 2500 * kMilli;
+// Where calls wait in a line that is longer than that: what has its place there is not given up for
+// a second call, which may end the first one's wait and find the line full (incident of 2026-12-02).
+constexpr Micros kLinePatience = 4 * kSecond;
+// The next call that comes so soon after an answer goes on with its watch: it owes at once whatever
+// has changed since that answer. One that comes later is a new watch and owes nothing of the gap.
+constexpr Micros kNewWatch = 200 * kMilli, kNewWatchMargin = 60 * kMilli;
+// Those that were answered late leave the line to others for so long a part of what it took.
+constexpr double kGiveWay = 0.5;
+constexpr Micros kMostGiveWay = 1500 * kMilli;
 // What an agent gets counts at once, so it is asked this many times within the grace; of that, what
 // a router may be held up for is kept free. The oldest call is not replaced before its time, so
 // that an agent that is only slow is heard.
@@ -181,15 +190,23 @@
         beside ? kSign : std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
     Micros deadline = deadline_of(now, 0);
     if (hurry(now) != kNever) deadline = std::min(deadline, hurry(now));
-    heard = std::min(heard, std::max(least, (deadline - now) / 2));
+    if (line_)
+      heard = static_cast<Micros>(static_cast<double>(kLinePatience) * between(1, 1.1, chance));
+    else
+      heard = std::min(heard, std::max(least, (deadline - now) / 2));
   }
   next_ = now + heard;
   next_watches_ = false;
   return {static_cast<int>(slot), wait};
 }
 
-CallSchedule::Call CallSchedule::begin(Micros now, double chance) {
+std::optional<CallSchedule::Call> CallSchedule::begin(Micros now, double chance) {
   add_deadlines_of_calls();
+  if (now < not_before_) {
+    next_ = not_before_;
+    next_watches_ = false;
+    return std::nullopt;
+  }
   return make(now, false, chance);
 }
 
@@ -212,19 +229,38 @@
   if (!one.out) return;
   One was = one;
   one.out = false;
-  if (was.wait == 0) stretch(now - was.begun > kSlowAnswer ? kStretchSlow : kUnstretch);
+  Micros took = now - was.begun;
+  if (was.wait == 0) stretch(took > kSlowAnswer ? kStretchSlow : kUnstretch);
+  // A watch is answered when there is news, so how long it waited in line shows only while that is
+  // known to be long.
+  bool waited = was.wait == 0 || (line_ && took < kLinePatience);
+  if (waited && !pushed_) line_ = took > kSlowAnswer;
   drop_before(was.begun);
   failures_ = unusable_ = 0;
   answered_at_ = now;
+  heard(now, chance);
   clear_deadlines();
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
-  // A watch with gaps is a new one.
-  bool early = was.wait > 0 && !news && now - was.begun < was.wait / 2;
-  // At once in any case: what changes within 200 ms of an answer counts as told, as if the watch
-  // went on, so that a pause here to let others go first would be one in which drains are missed.
-  next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
+  bool early = was.wait > 0 && !news && took < was.wait / 2;
   next_watches_ = true;
+  next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
+  if (pushed_) return;
+  if (line_) next_ += give_way(took, chance);
+  next_ = std::max(next_, not_before_);
+  // What changes until the next call has its turn.
+  add_deadline(now + kTold, DeadlineReason::HeldList);
+}
+
+Micros CallSchedule::give_way(Micros took, double chance) const {
+  double most = std::min<double>(kGiveWay * static_cast<double>(took), kMostGiveWay);
+  return static_cast<Micros>(most * chance);
+}
+
+void CallSchedule::heard(Micros now, double chance) {
+  if (pushed_) return;
+  double margin = static_cast<double>(kNewWatchMargin) * between(0.5, 1, chance);
+  not_before_ = now + kNewWatch + static_cast<Micros>(margin);
 }
 
 Micros CallSchedule::pause(Micros now, bool queued, double chance) {
@@ -253,6 +289,9 @@
   one.out = false;
   if (fault == Fault::Refused) stretch(kStretchRefused);
   bool others = false;
+  // A watch that was refused while calls wait in line may never have been up.
+  bool line = line_;
+  if (!pushed_) line_ = fault == Fault::Refused;
   for (const One& other : calls_) {
     if (!other.out) continue;
     others = true;
@@ -264,9 +303,10 @@
   // ended at once may have missed what came right behind the last answer, and a call for the list
   // of now what was there when it began; unless another is out, which brings it or has a deadline.
   Micros from = was.wait == 0                    ? was.begun
-                : now - was.begun > kHeardWithin ? now
+                : now - was.begun > kHeardWithin && !line ? now
                 : answered_at_ == kNever         ? was.begun
                                                  : answered_at_;
+  if (fault == Fault::Spoilt || fault == Fault::Unusable) heard(now, chance);
   if (fault == Fault::Spoilt || fault == Fault::Unusable)
     add_deadline(now + kSpoiltTold, DeadlineReason::Spoilt);
   else if (!others)
@@ -305,6 +345,10 @@
 std::optional<CallSchedule::Call> CallSchedule::advance(Micros now, double chance) {
   if (next_ == kNever || now < next_) return std::nullopt;
   add_deadlines_of_calls();
+  if (now < not_before_) {
+    next_ = not_before_;
+    return std::nullopt;
+  }
   return make(now, next_watches_, chance);
 }
 
--- a/src/membership/call_schedule.hpp
+++ b/src/membership/call_schedule.hpp
@@ -58,9 +58,9 @@
     Micros wait = 0;
   };
   static constexpr Micros kLongestWait = 56'000'000;
-  /// Begins, or begins anew, with a call that is answered at once. `chance` is uniform from 0 to 1
-  /// in all of these.
-  Call begin(Micros now, double chance);
+  /// Begins, or begins anew, with a call that is answered at once. Nothing: it is too soon behind an
+  /// answer, and the call is planned. `chance` is uniform from 0 to 1 in all of these.
+  [[nodiscard]] std::optional<Call> begin(Micros now, double chance);
   /// A list is held that is from before: what has changed since counts within 6 s.
   void hold(Micros now);
   /// Another discovery: calls out at the one before are no more this machine's, and what the new
@@ -72,6 +72,8 @@
   /// A list that counts has come, with changes or without. Calls that began before the one in that
   /// slot are out no more.
   void answered(Micros now, int slot, bool news, double chance);
+  /// An answer has come, to whatever call: the next one must begin a watch of its own.
+  void heard(Micros now, double chance);
   /// True where nobody else is out. The machine makes the next call itself; with nothing to lose by
   /// it a caller may begin() sooner.
   bool failed(Micros now, int slot, Fault fault, double chance);
@@ -108,6 +110,8 @@
   Micros agent_period() const;
   /// Of a watch there.
   Micros agent_wait() const;
+  /// So long a router that was answered leaves the line to others, the longer the more that `took`.
+  Micros give_way(Micros took, double chance) const;
   void stretch(double by);
   void drop_before(Micros begun);
   /// Until the next call after one that failed.
@@ -123,10 +127,12 @@
   DeadlineReason deadline_reason_ = DeadlineReason::None;
   Micros moved_deadline_ = kNever;  // of another address
   Micros answered_at_ = kNever;
+  Micros not_before_ = 0;  // no call begins before
   bool next_watches_ = false;  // what next_ begins: a watch, or a call that is answered at once
   int failures_ = 0;           // in a row
   int unusable_ = 0;           // of them the last ones, in a row
   double stretch_ = 1;         // of waits, 1 to 2
+  bool line_ = false;          // calls wait in line, by the last one that ended
 };
 
 }  // namespace robinseam::membership
--- a/src/membership/list_subscription.cpp
+++ b/src/membership/list_subscription.cpp
@@ -15,8 +15,9 @@
 // A call that is answered at once.
 constexpr int kShortWaitMs = 1;
 // A call that is not answered this long after its wait has failed: discovery answers or fails what
-// it can't do within seconds, so silence means that it can't be reached.
-constexpr Micros kCallTime = 4 * kSecond;
+// it can't do within seconds, so silence means that it can't be reached. Over the patience with
+// calls that wait in line (call_schedule).
+constexpr Micros kCallTime = 5500 * kMillisecond;
 // What discovery has to tell counts as told so long after a configuration that names another
 // address.
 constexpr Micros kMoveWithin = 4 * kSecond;
@@ -72,7 +73,7 @@
 
 void ListSubscription::watch(Micros now) {
   look_at_ = CallSchedule::kNever;
-  call(schedule_.begin(now, chance()), now);
+  if (auto due = schedule_.begin(now, chance())) call(*due, now);
 }
 
 void ListSubscription::look_again(Micros now, Micros span) {
@@ -217,6 +218,7 @@
 void ListSubscription::take_former(Former& former, ListResult result, Micros now) {
   std::optional<HostList>& list = result.list;
   if (!list) return;
+  schedule_.heard(now, chance());
   if (!may_count(former.guard, list)) {
     watch(now);
     return;
@@ -237,6 +239,7 @@
 void ListSubscription::take_lingering(ListResult result, Micros now) {
   std::optional<HostList>& list = result.list;
   if (!list || !(version().empty() || guard_.newer(*list))) return;
+  schedule_.heard(now, chance());
   if (may_count(guard_, list))
     handler_.on_hosts(std::move(*list));
   else
--- a/tests/membership/call_schedule_test.cpp
+++ b/tests/membership/call_schedule_test.cpp
@@ -40,7 +40,9 @@
   void at(Micros t, std::function<void()> what) { events.push({t, order++, std::move(what)}); }
   double chance() { return std::uniform_real_distribution<>()(random); }
 
-  void start(std::size_t r) { made(r, routers[r].schedule.begin(now, chance())); }
+  void start(std::size_t r) {
+    if (auto call = routers[r].schedule.begin(now, chance())) made(r, *call);
+  }
   void made(std::size_t r, CallSchedule::Call call) {
     Router& one = routers[r];
     Out& out = one.out[static_cast<std::size_t>(call.slot)];
@@ -378,7 +380,7 @@
   std::vector<Micros> made;
   Micros now = 0;
   auto call = schedule.begin(now, 0.5);
-  schedule.answered(10 * kMilli, call.slot, true, 0.5);
+  schedule.answered(10 * kMilli, call.value().slot, true, 0.5);
   for (now = 10 * kMilli; now < 20 * kSecond; now += kMilli)
     if (auto next = schedule.advance(now, 0.5)) {
       EXPECT_EQ(next->wait > 0, made.empty());
--- a/tests/membership/discovery_world.hpp
+++ b/tests/membership/discovery_world.hpp
@@ -26,7 +26,7 @@
 enum class Mode {
   Up,
   Slow,     ///< answers after `delay`
-  Line,     ///< works calls off in turn, `delay` each; what waited too long costs its work too
+  Line,     ///< works calls off in turn, see World::Line
   Crowded,  ///< every second call is refused after 2 s, the others wait up to 1.8 s
   Silent,   ///< takes calls and never answers
   Refuses,  ///< 503 at once
@@ -49,6 +49,20 @@
     std::uint64_t seed = 1;
   };
 
+  /// How discovery works calls off in turn, in Mode::Line.
+  struct Line {
+    Micros work = 100 * kMilli;      ///< of a call
+    Micros most_wait = 2 * kSecond;  ///< then a call is refused
+    std::size_t places = 24;         ///< with so many waiting a call is refused at once
+    bool works_on_expired =
+        false;             ///< what was refused so, or whose caller has gone, costs its work
+    bool one_each = true;  ///< a router's second call ends its first one's wait, refused
+  };
+  void set_line(const Line& line) {
+    line_ = line;
+    set_mode(Mode::Line, line.work);
+  }
+
   explicit World(const Options& options) : options_(options), random_(options.seed) {
     for (int k = 0; k < options.servers; ++k) hosts_[k] = Listed{};
     for (int k = 0; k < options.routers; ++k) routers_.push_back(std::make_unique<Router>(*this));
@@ -152,7 +166,8 @@
 
   struct Verdict {
     std::size_t violations = 0;
-    std::string first;  ///< with the timeline of that request's router
+    std::string first;     ///< with the timeline of that request's router
+    std::string sentence;  ///< by which that one's change counts as told
   };
   Verdict judge() const {
     Verdict verdict;
@@ -161,7 +176,10 @@
       rules.pushed = options_.pushed, rules.grace = options_.grace;
       DrainJudge checker(rules);
       auto found = checker.check(routers_[r]->records);
-      if (!found.empty() && verdict.first.empty()) verdict.first = describe(r, found.front());
+      if (!found.empty() && verdict.first.empty()) {
+        verdict.first = describe(r, found.front());
+        verdict.sentence = text_of(found.front().sentence);
+      }
       verdict.violations += found.size();
     }
     return verdict;
@@ -182,7 +200,6 @@
   static constexpr Micros kShortestReturn = 300 * kMilli;
   static constexpr Micros kBetweenHolds = 300 * kMilli;
   static constexpr Micros kQueueTime = 2 * kSecond;  // of a crowded discovery
-  static constexpr int kLine = 24;                   // calls that wait, at most
   // Far above what a discovery that counts anew comes to: an index of before is no version of its
   // own, which is so low that it could not tell the two apart.
   static constexpr std::uint64_t kFirstVersion = 1000;
@@ -202,6 +219,8 @@
     bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
 
+  struct Place;
+
   /// One router process: the subscription, the list it holds, and requests to every server in it.
   struct Router final : ListTransport, ListSubscription::Handler {
     explicit Router(World& w) : world(w) {}
@@ -346,13 +365,30 @@
       }
     }
     void waits_in_line(int id) {
-      Micros begins = std::max(world.now_, world.busy_until_);
-      Micros waits = begins - world.now_;
-      if (waits >= kLine * world.delay_)
+      if (world.line_.one_each) leave_line();
+      if (world.waiting_.size() >= world.line_.places)
         return later(kNetwork, [this, id] { fail(id, Fault::Refused); });
-      world.busy_until_ = begins + world.delay_;
-      if (waits > kQueueTime) return later(kQueueTime, [this, id] { fail(id, Fault::Refused); });
-      later_outside(waits + world.delay_, id, [this, id] { works(id); });
+      world.waiting_.push_back({this, life, id});
+      later_outside(world.line_.most_wait, id, [this, id] {
+        if (auto place = place_of(id)) {
+          place->refused = true;
+          later(kNetwork, [this, id] { fail(id, Fault::Refused); });
+        }
+      });
+      if (!world.working_) world.work_on_line();
+    }
+    World::Place* place_of(int id) {
+      for (World::Place& place : world.waiting_)
+        if (place.router == this && place.life == life && place.id == id && !place.refused)
+          return &place;
+      return nullptr;
+    }
+    void leave_line() {
+      for (World::Place& place : world.waiting_) {
+        if (place.router != this || place.life != life || place.refused) continue;
+        place.refused = true;
+        later(kNetwork, [this, id = place.id] { fail(id, Fault::Refused); });
+      }
     }
     void works(int id) {
       Out& one = out.at(id);
@@ -452,6 +488,29 @@
     bool alive = false;
   };
 
+  struct Place {
+    Router* router;
+    int life, id;
+    bool refused = false;
+  };
+  /// The next in line has its turn.
+  void work_on_line() {
+    working_ = false;
+    while (!waiting_.empty()) {
+      Place place = waiting_.front();
+      waiting_.pop_front();
+      bool there = !place.refused && place.router->life == place.life &&
+                   place.router->out.count(place.id) > 0;
+      if (!there && !line_.works_on_expired) continue;
+      working_ = true;
+      at(now_ + line_.work, [this, place, there] {
+        bool waits = there && place.router->life == place.life && place.router->out.count(place.id);
+        if (waits) place.router->works(place.id);
+        work_on_line();
+      });
+      return;
+    }
+  }
   bool reachable() const {
     return mode_ == Mode::Up || mode_ == Mode::Slow || mode_ == Mode::Line ||
            mode_ == Mode::Crowded;
@@ -531,7 +590,9 @@
   std::uint64_t version_ = kFirstVersion, agent_version_ = kFirstVersion;
   int epoch_ = 0, address_ = 0, crowd_ = 0, order_ = 0;
   Mode mode_ = Mode::Up;
-  Micros busy_until_ = 0;
+  Line line_;
+  std::deque<Place> waiting_;
+  bool working_ = false;
   Micros delay_ = 0, now_ = 0, up_since_ = -kShortestReturn;
   std::size_t calls_ = 0;
   std::vector<std::pair<Micros, std::string>> log_;
--- a/tests/membership/fault_injection_test.cpp
+++ b/tests/membership/fault_injection_test.cpp
@@ -84,17 +84,26 @@
         return span;
       }
       case 11:
-      case 12: {  // a call of each router takes it so long
-        Micros tier_calls = w_.between(200 * kMilli, 2500 * kMilli);
-        auto routers = static_cast<Micros>(w_.routers());
-        if (!pushed) outage(t, Mode::Line, span, tier_calls / routers);
+      case 12:
+        if (!pushed) full_line(t, span);
         return span;
-      }
       default:
         if (!pushed) w_.at(t, [this] { w_.count_anew(); });
         return span;
     }
   }
+  /// Works calls off in turn; one of each router takes it 0.2 to 2.5 s.
+  void full_line(Micros t, Micros span) {
+    World::Line line;
+    line.work = w_.between(200 * kMilli, 2500 * kMilli) / static_cast<Micros>(w_.routers());
+    line.most_wait = w_.between(2 * kSecond, 3500 * kMilli);
+    Micros longest = w_.between(kSecond, 4 * kSecond);
+    line.places = static_cast<std::size_t>(std::max<Micros>(2, longest / line.work));
+    line.works_on_expired = w_.chance() < 0.3;
+    line.one_each = w_.chance() < 0.7;
+    outage(t, Mode::Line, span);
+    w_.at(t, [this, line] { w_.set_line(line); });
+  }
   /// New configurations in a row, at times before a discovery that is slow.
   Micros hang_ups(Micros t, bool pushed) {
     int times = 1 + w_.below(5);
@@ -153,6 +162,7 @@
 
 void play_all(bool pushed) {
   Range range = seeds(kUsual);
+  std::map<std::string, std::vector<std::uint64_t>> by_sentence;
   std::size_t days = 0, broken = 0, requests = 0, calls = 0;
   for (std::uint64_t seed = range.from; seed <= range.to; ++seed, ++days) {
     static const int sizes[] = {1, 3, 6, 16};
@@ -171,10 +181,16 @@
     calls += world.calls();
     requests += verdict.violations;
     if (verdict.violations == 0) continue;
+    by_sentence[verdict.sentence].push_back(seed);
     if (++broken <= 3 || range.from == range.to)
       std::cout << "seed " << seed << ": " << verdict.violations << " requests\n" << verdict.first;
   }
   EXPECT_EQ(broken, 0u) << "of " << days << " days; " << requests << " requests after the grace";
+  for (const auto& [sentence, broken_seeds] : by_sentence) {
+    std::cout << sentence << ":";
+    for (std::uint64_t seed : broken_seeds) std::cout << ' ' << seed;
+    std::cout << "\n";
+  }
   std::cout << days << " days, " << broken << " broken, " << requests << " requests, " << calls
             << " calls on discovery\n";
 }
