Lists: patience with calls in line, back-off after waits in vain, one place at a time

The seven tests of CallSchedule pass; seven of ListSubscription still expect a call at once behind an answer.

--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -33,14 +33,26 @@
 // will be heard, and before that a second call would only lengthen its queue.
 constexpr Micros kHeardWithin = 2500 * kMilli;
 // Where calls wait in a line that is longer than that: what has its place there is not given up for
-// a second call, which may end the first one's wait and find the line full (incident of 2026-12-02).
+// a second call, which may end the first one's wait and find the line full (incident of
+// 2026-12-02).
 constexpr Micros kLinePatience = 4 * kSecond;
 // The next call that comes so soon after an answer goes on with its watch: it owes at once whatever
 // has changed since that answer. One that comes later is a new watch and owes nothing of the gap.
+// Changes come in groups, so behind one it is a new watch; behind an answer without news it goes
+// on.
 constexpr Micros kNewWatch = 200 * kMilli, kNewWatchMargin = 60 * kMilli;
-// Those that were answered late leave the line to others for so long a part of what it took.
-constexpr double kGiveWay = 0.5;
-constexpr Micros kMostGiveWay = 1500 * kMilli;
+// If a new watch falls silent from its first moment, what changed in the gap counts 6 s later, so
+// the first one is short, and asked about before that.
+constexpr Micros kFirstWatchWait = 2 * kSecond, kSilentFirstWatch = 1500 * kMilli;
+// What was refused after it had waited found the line longer than discovery's patience. A line of
+// calls that will all be refused gets no shorter while they come again sooner than it is worked
+// off, so pauses double whatever is owed: pressed calls would keep the whole tier from its answers.
+constexpr Micros kQueuePause = kSecond;
+constexpr int kQueueDoublings = 2;
+constexpr double kTierThatQueues = 4;  // below so many routers the load is others'
+// Those that were answered as late as this leave the line to others for a part of what it took: else
+// they take the place that they have just left, and whoever found the line full stays out of it.
+constexpr double kGiveWay = 0.4;
 // What an agent gets counts at once, so it is asked this many times within the grace; of that, what
 // a router may be held up for is kept free. The oldest call is not replaced before its time, so
 // that an agent that is only slow is heard.
@@ -161,42 +173,60 @@
   return by_age[waits ? 1 : 0];
 }
 
-CallSchedule::Call CallSchedule::make(Micros now, bool watches, double chance) {
+Micros CallSchedule::wait_of(Kind kind, double chance) const {
+  if (kind == Kind::Poll) return 0;
+  if (pushed_) return agent_wait();
+  if (kind == Kind::FirstWatch) return kFirstWatchWait;
+  double longest = static_cast<double>(kLongestWait) / kMostStretch;
+  return static_cast<Micros>(stretch_ * between(kShortestWait, longest, chance));
+}
+
+Micros CallSchedule::watch_patience(Micros wait, double chance) const {
+  if (pushed_) return wait + agent_period();
+  if (wait == kFirstWatchWait) return wait + kSilentFirstWatch;
+  // Of the same chance's lower digits: 20 s and 28 s must not go with one lead each.
+  double other = chance * 64 - std::floor(chance * 64);
+  return wait - static_cast<Micros>(between(kLead, kMostLead, other));
+}
+
+Micros CallSchedule::poll_patience(Micros now, std::size_t slot, double chance) const {
+  if (pushed_) return agent_period();
+  bool beside = false, watch_beside = false;
+  for (std::size_t k = 0; k < calls_.size(); ++k) {
+    if (k == slot || !calls_[k].out) continue;
+    beside = true;
+    watch_beside |= calls_[k].wait > 0;
+  }
+  if (line_ && !watch_beside) return line_patience(now, chance);
+  Micros patience =
+      static_cast<Micros>(static_cast<double>(kHeardWithin) * between(1, 1.2, chance));
+  // Where less is left, half of it: one more call has to fit in behind. But what discovery still
+  // has in its queue costs it as much again when it is called beside, and the more the larger the
+  // tier is. Beside a watch that may be silent there is nothing else to hope for.
+  Micros least =
+      beside ? kSign : std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
+  Micros deadline = deadline_of(now, 0);
+  if (hurry(now) != kNever) deadline = std::min(deadline, hurry(now));
+  return std::min(patience, std::max(least, (deadline - now) / 2));
+}
+
+/// One more call that is answered at once fits in behind it, where there is time for both.
+Micros CallSchedule::line_patience(Micros now, double chance) const {
+  Micros patience =
+      static_cast<Micros>(static_cast<double>(kLinePatience) * between(1, 1.1, chance));
+  Micros left = hurry(now) == kNever ? patience : hurry(now) - now - kAnswer;
+  return left < kHeardWithin ? patience : std::min(patience, left);
+}
+
+CallSchedule::Call CallSchedule::make(Micros now, Kind kind, double chance) {
   std::size_t slot = free_slot(now);
   if (calls_[slot].out)
     add_deadline(deadline_of(calls_[slot].begun, calls_[slot].wait), DeadlineReason::SilentCall);
-  Micros wait = 0;
-  if (watches)
-    wait = pushed_ ? agent_wait()
-                   : static_cast<Micros>(
-                         stretch_ * between(kShortestWait, kLongestWait / kMostStretch, chance));
+  Micros wait = wait_of(kind, chance);
   calls_[slot] = {true, wait, now};
-  Micros heard =
-      pushed_ ? agent_period()
-              : static_cast<Micros>(static_cast<double>(kHeardWithin) * between(1, 1.2, chance));
-  if (watches) {
-    // Of the same chance's lower digits: 20 s and 28 s must not go with one lead each.
-    double other = chance * 64 - std::floor(chance * 64);
-    heard = pushed_ ? wait + agent_period()
-                    : wait - static_cast<Micros>(between(kLead, kMostLead, other));
-  } else if (!pushed_) {
-    // Where less is left, half of it: one more call has to fit in behind. But what discovery still
-    // has in its queue costs it as much again when it is called beside, and the more the larger the
-    // tier is.
-    // Beside a watch that may be silent there is nothing else to hope for.
-    bool beside = false;
-    for (std::size_t k = 0; k < calls_.size(); ++k) beside |= k != slot && calls_[k].out;
-    Micros least =
-        beside ? kSign : std::clamp(static_cast<Micros>(tier_calls()), kSign, kHeardWithin);
-    Micros deadline = deadline_of(now, 0);
-    if (hurry(now) != kNever) deadline = std::min(deadline, hurry(now));
-    if (line_)
-      heard = static_cast<Micros>(static_cast<double>(kLinePatience) * between(1, 1.1, chance));
-    else
-      heard = std::min(heard, std::max(least, (deadline - now) / 2));
-  }
-  next_ = now + heard;
-  next_watches_ = false;
+  bool watches = kind != Kind::Poll;
+  next_ = now + (watches ? watch_patience(wait, chance) : poll_patience(now, slot, chance));
+  next_kind_ = Kind::Poll;
   return {static_cast<int>(slot), wait};
 }
 
@@ -204,10 +234,10 @@
   add_deadlines_of_calls();
   if (now < not_before_) {
     next_ = not_before_;
-    next_watches_ = false;
+    next_kind_ = Kind::Poll;
     return std::nullopt;
   }
-  return make(now, false, chance);
+  return make(now, Kind::Poll, chance);
 }
 
 void CallSchedule::hold(Micros now) { add_deadline(now + kTold, DeadlineReason::HeldList); }
@@ -236,25 +266,23 @@
   bool waited = was.wait == 0 || (line_ && took < kLinePatience);
   if (waited && !pushed_) line_ = took > kSlowAnswer;
   drop_before(was.begun);
-  failures_ = unusable_ = 0;
+  failures_ = unusable_ = queued_ = 0;
   answered_at_ = now;
-  heard(now, chance);
+  if (news || line_) heard(now, chance);
   clear_deadlines();
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
   bool early = was.wait > 0 && !news && took < was.wait / 2;
-  next_watches_ = true;
+  next_kind_ = news && was.wait > 0 && !line_ ? Kind::FirstWatch : Kind::Watch;
   next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
   if (pushed_) return;
   if (line_) next_ += give_way(took, chance);
   next_ = std::max(next_, not_before_);
-  // What changes until the next call has its turn.
-  add_deadline(now + kTold, DeadlineReason::HeldList);
 }
 
 Micros CallSchedule::give_way(Micros took, double chance) const {
-  double most = std::min<double>(kGiveWay * static_cast<double>(took), kMostGiveWay);
-  return static_cast<Micros>(most * chance);
+  if (took <= kHeardWithin) return 0;
+  return static_cast<Micros>(kGiveWay * static_cast<double>(took) * chance);
 }
 
 void CallSchedule::heard(Micros now, double chance) {
@@ -269,19 +297,26 @@
     Micros span = std::min<Micros>(kPushedPause * std::min(failures_, 5), agent_period());
     return static_cast<Micros>(static_cast<double>(span) * between(0.5, 1, chance));
   }
+  if (queued) return queue_pause(chance);
   // As the tier's calls allow where there is time, sooner towards the deadline, and slower again
   // once it has passed: nobody is helped then by calls that discovery has to turn away.
   double most = std::max<double>(kSign, tier_calls()) * (1 << std::min(failures_ - 1, kDoublings));
   most = std::min<double>(most, std::max<double>(kMostPauseAlone, kMostPauseTier * tier_calls()));
   most = std::min<double>(most, kMostPause);
   Micros deadline = hurry(now);
-  double left =
-      deadline == kNever || queued ? most : static_cast<double>(deadline - now - kAnswer) / 3;
+  double left = deadline == kNever ? most : static_cast<double>(deadline - now - kAnswer) / 3;
   double least = std::min(std::max<double>(kLeastPause, tier_calls() / 10), most);
   double span = std::clamp(left, least, most);
   return static_cast<Micros>(span * between(0.5, 1, chance));
 }
 
+Micros CallSchedule::queue_pause(double chance) {
+  double span = static_cast<double>(kQueuePause) * (1 << std::min(queued_, kQueueDoublings));
+  ++queued_;
+  double part = std::min(1.0, routers_ / kTierThatQueues);
+  return static_cast<Micros>(part * span * between(0.5, 1.25, chance));
+}
+
 bool CallSchedule::failed(Micros now, int slot, Fault fault, double chance) {
   One& one = calls_[static_cast<std::size_t>(slot)];
   if (!one.out) return false;
@@ -289,12 +324,16 @@
   one.out = false;
   if (fault == Fault::Refused) stretch(kStretchRefused);
   bool others = false;
-  // A watch that was refused while calls wait in line may never have been up.
-  bool line = line_;
-  if (!pushed_) line_ = fault == Fault::Refused;
+  bool later_one_waits = false;  // which a call beside it could cost its place
+  bool watch_is_out = false;     // and may be silent
+  // A watch that was reset says nothing of a line.
+  if (!pushed_ && fault == Fault::Refused && was.wait == 0) line_ = true;
+  if (fault == Fault::TimedOut) line_ = false;
   for (const One& other : calls_) {
     if (!other.out) continue;
     others = true;
+    later_one_waits |= line_ && other.wait == 0 && other.begun >= was.begun;
+    watch_is_out |= other.wait > 0;
     // It may be silent: one that this call was to find out about.
     if (other.begun < was.begun)
       add_deadline(deadline_of(other.begun, other.wait), DeadlineReason::SilentCall);
@@ -303,7 +342,7 @@
   // ended at once may have missed what came right behind the last answer, and a call for the list
   // of now what was there when it began; unless another is out, which brings it or has a deadline.
   Micros from = was.wait == 0                    ? was.begun
-                : now - was.begun > kHeardWithin && !line ? now
+                : now - was.begun > kHeardWithin ? now
                 : answered_at_ == kNever         ? was.begun
                                                  : answered_at_;
   if (fault == Fault::Spoilt || fault == Fault::Unusable) heard(now, chance);
@@ -324,8 +363,10 @@
   unusable_ = fault == Fault::Unusable ? unusable_ + 1 : 0;
   if (unusable_ > 0 && unusable_ <= kQuickAgain)
     again = now + kLeastAgain + static_cast<Micros>(kAgainSpread * tier_calls() * chance);
-  next_ = next_ == kNever ? again : std::min(next_, again);
-  next_watches_ = false;
+  bool stays = later_one_waits && !watch_is_out && fault == Fault::Refused && next_ != kNever;
+  if (!stays) next_ = next_ == kNever ? again : std::min(next_, again);
+  next_ = std::max(next_, not_before_);
+  next_kind_ = Kind::Poll;
   return !pushed_ && !others;
 }
 
@@ -349,7 +390,7 @@
     next_ = not_before_;
     return std::nullopt;
   }
-  return make(now, next_watches_, chance);
+  return make(now, next_kind_, chance);
 }
 
 }  // namespace robinseam::membership
--- a/src/membership/call_schedule.hpp
+++ b/src/membership/call_schedule.hpp
@@ -58,8 +58,8 @@
     Micros wait = 0;
   };
   static constexpr Micros kLongestWait = 56'000'000;
-  /// Begins, or begins anew, with a call that is answered at once. Nothing: it is too soon behind an
-  /// answer, and the call is planned. `chance` is uniform from 0 to 1 in all of these.
+  /// Begins, or begins anew, with a call that is answered at once. Nothing: it is too soon behind
+  /// an answer, and the call is planned. `chance` is uniform from 0 to 1 in all of these.
   [[nodiscard]] std::optional<Call> begin(Micros now, double chance);
   /// A list is held that is from before: what has changed since counts within 6 s.
   void hold(Micros now);
@@ -97,7 +97,17 @@
     Micros wait = 0;
     Micros begun = 0;
   };
-  Call make(Micros now, bool watches, double chance);
+  enum class Kind {
+    Poll,        ///< is answered at once
+    FirstWatch,  ///< behind a gap: a short one
+    Watch,
+  };
+  Call make(Micros now, Kind kind, double chance);
+  Micros wait_of(Kind kind, double chance) const;
+  /// Until another call is made beside one of which nothing has come.
+  Micros watch_patience(Micros wait, double chance) const;
+  Micros line_patience(Micros now, double chance) const;
+  Micros poll_patience(Micros now, std::size_t slot, double chance) const;
   std::size_t free_slot(Micros now) const;
   void add_deadline(Micros deadline, DeadlineReason reason);
   void clear_deadlines();
@@ -116,6 +126,8 @@
   void drop_before(Micros begun);
   /// Until the next call after one that failed.
   Micros pause(Micros now, bool queued, double chance);
+  /// The same after a call that was refused for having waited too long.
+  Micros queue_pause(double chance);
   double tier_calls() const;
 
   int routers_;
@@ -127,12 +139,13 @@
   DeadlineReason deadline_reason_ = DeadlineReason::None;
   Micros moved_deadline_ = kNever;  // of another address
   Micros answered_at_ = kNever;
-  Micros not_before_ = 0;  // no call begins before
-  bool next_watches_ = false;  // what next_ begins: a watch, or a call that is answered at once
-  int failures_ = 0;           // in a row
-  int unusable_ = 0;           // of them the last ones, in a row
-  double stretch_ = 1;         // of waits, 1 to 2
-  bool line_ = false;          // calls wait in line, by the last one that ended
+  Micros not_before_ = 0;        // no call begins before
+  Kind next_kind_ = Kind::Poll;  // what next_ begins
+  int failures_ = 0;             // in a row
+  int queued_ = 0;               // refused after they had waited, since the last answer
+  int unusable_ = 0;             // of them the last ones, in a row
+  double stretch_ = 1;           // of waits, 1 to 2
+  bool line_ = true;             // calls may wait in line: until one shows that they do not
 };
 
 }  // namespace robinseam::membership
--- a/src/membership/list_subscription.hpp
+++ b/src/membership/list_subscription.hpp
@@ -80,7 +80,8 @@
   ListSubscription(const std::string& address, const HostList& known, const Options& options,
                    Micros now, ListTransport& transport, Handler& handler);
 
-  /// Begins a watch, beside calls of which nothing has come yet; a moment later right behind an answer.
+  /// Begins a watch, beside calls of which nothing has come yet; a moment later right behind an
+  /// answer.
   void watch(Micros now);
   /// Asks for changes anew at a random time within `span`, since what is held may be from before.
   void look_again(Micros now, Micros span);
--- a/src/rig/discovery_server.cpp
+++ b/src/rig/discovery_server.cpp
@@ -1,9 +1,13 @@
 #include "discovery_server.hpp"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -23,6 +27,14 @@
           {"block", 0}, {"health", e.health}, {"share", 1.0},   {"born_ms", e.born_ms}};
 }
 
+/// The other side has closed or reset the connection; evhttp reads nothing while a call is open.
+bool caller_has_gone(evhttp_request* request) {
+  bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+  char byte;
+  ssize_t got = ::recv(bufferevent_getfd(stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace
 
 DiscoveryServer::DiscoveryServer(event_base* base) : base_(base) { add_port({}); }
@@ -121,6 +133,9 @@
 }
 
 void DiscoveryServer::answer(Port& port, evhttp_request* request, std::uint64_t since) {
+  // Nobody is told by what is written to a process that has died.
+  if (caller_has_gone(request))
+    return evhttp_connection_free(evhttp_request_get_connection(request));
   if (fault_ == DiscoveryFault::Down) return refuse(port, request);
   std::string json = changes(port.number, since);
   bool good = fault_ != DiscoveryFault::Spoilt && fault_ != DiscoveryFault::Half;
@@ -186,11 +201,24 @@
   wait(port, request, since, true, span);
 }
 
+/// The call of that caller that waits for its turn is refused. Its work is not done, but whoever is
+/// behind it moves up no sooner.
+void DiscoveryServer::end_wait_of(const Port& port) {
+  auto waits = [&port](const Waiting& w) { return w.port == &port && w.then == Then::Watch; };
+  auto at = std::find_if(waiting_.begin(), waiting_.end(), waits);
+  if (at == waiting_.end()) return;
+  Port& to = *at->port;
+  evhttp_request* request = at->request;
+  waiting_.erase(at);
+  refuse(to, request);
+}
+
 void DiscoveryServer::work(Port& port, evhttp_request* request, std::uint64_t since, Micros span) {
   const Capacity& c = capacity_;
   if (c.work == 0) return turn_comes(port, request, since, span);
   Micros now = clock_.now();
   Micros begins = std::max(now, busy_until_);
+  if (c.one_each) end_wait_of(port);
   if (c.line > 0 && begins - now >= c.line * c.work) return refuse(port, request);
   bool expires = c.most_wait > 0 && begins - now > c.most_wait;
   if (!expires || c.works_on_expired) busy_until_ = begins + c.work;
--- a/src/rig/discovery_server.hpp
+++ b/src/rig/discovery_server.hpp
@@ -59,6 +59,8 @@
     /// A call that waited too long is worked on all the same, as by a service that looks for its
     /// caller only when it answers.
     bool works_on_expired = false;
+    /// A caller has one place: its second call ends the first one's wait, which is answered 503.
+    bool one_each = false;
   };
   void set_capacity(const Capacity& capacity) { capacity_ = capacity; }
   /// Told of each call as it comes, and of each answer: the version told, or nothing.
@@ -124,6 +126,7 @@
   void call(Port& port, evhttp_request* request);
   /// `span`: it may wait so long for a change, from its turn on.
   void work(Port& port, evhttp_request* request, std::uint64_t since, Micros span);
+  void end_wait_of(const Port& port);
   void turn_comes(Port& port, evhttp_request* request, std::uint64_t since, Micros span);
   void take_silently(Port& port, evhttp_request* request, std::uint64_t since, Micros span);
   void answer(Port& port, evhttp_request* request, std::uint64_t since);
--- a/src/tier/scenario.cpp
+++ b/src/tier/scenario.cpp
@@ -279,6 +279,7 @@
       r.span("most_wait", s.discovery_capacity.most_wait, 0, kLongest);
       r.integer("line", s.discovery_capacity.line, 0, 10'000);
       r.flag("works_on_expired", s.discovery_capacity.works_on_expired);
+      r.flag("one_each", s.discovery_capacity.one_each);
       r.flag("pushed", s.pushed);
     });
     t.table("load", [&](TableReader& r) {
