--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -50,8 +50,9 @@
 constexpr Micros kQueuePause = kSecond;
 constexpr int kQueueDoublings = 2;
 constexpr double kTierThatQueues = 4;  // below so many routers the load is others'
-// Those that were answered as late as this leave the line to others for a part of what it took: else
-// they take the place that they have just left, and whoever found the line full stays out of it.
+// Those that were answered as late as this leave the line to others for a part of what it took:
+// else they take the place that they have just left, and whoever found the line full stays out of
+// it.
 constexpr double kGiveWay = 0.4;
 // What an agent gets counts at once, so it is asked this many times within the grace; of that, what
 // a router may be held up for is kept free. The oldest call is not replaced before its time, so
