--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -50,10 +50,6 @@
 constexpr Micros kQueuePause = kSecond;
 constexpr int kQueueDoublings = 2;
 constexpr double kTierThatQueues = 4;  // below so many routers the load is others'
-// Those that were answered as late as this leave the line to others for a part of what it took:
-// else they take the place that they have just left, and whoever found the line full stays out of
-// it.
-constexpr double kGiveWay = 0.4;
 // What an agent gets counts at once, so it is asked this many times within the grace; of that, what
 // a router may be held up for is kept free. The oldest call is not replaced before its time, so
 // that an agent that is only slow is heard.
@@ -269,7 +265,7 @@
   drop_before(was.begun);
   failures_ = unusable_ = queued_ = 0;
   answered_at_ = now;
-  if (news || line_) heard(now, chance);
+  if (news && was.wait > 0) heard(now, chance);
   clear_deadlines();
   for (const One& other : calls_)
     if (other.out) return;  // a later one: it goes on
@@ -277,15 +273,9 @@
   next_kind_ = news && was.wait > 0 && !line_ ? Kind::FirstWatch : Kind::Watch;
   next_ = early ? now + static_cast<Micros>(kRenewPause * between(0.5, 1.5, chance)) : now;
   if (pushed_) return;
-  if (line_) next_ += give_way(took, chance);
   next_ = std::max(next_, not_before_);
 }
 
-Micros CallSchedule::give_way(Micros took, double chance) const {
-  if (took <= kHeardWithin) return 0;
-  return static_cast<Micros>(kGiveWay * static_cast<double>(took) * chance);
-}
-
 void CallSchedule::heard(Micros now, double chance) {
   if (pushed_) return;
   double margin = static_cast<double>(kNewWatchMargin) * between(0.5, 1, chance);
@@ -367,7 +357,9 @@
   bool stays = later_one_waits && !watch_is_out && fault == Fault::Refused && next_ != kNever;
   if (!stays) next_ = next_ == kNever ? again : std::min(next_, again);
   next_ = std::max(next_, not_before_);
-  next_kind_ = Kind::Poll;
+  // Who has a list needs no more than a watch, which leaves the line for good once it is up.
+  bool lines_up = line_ && !pushed_ && !others && answered_at_ != kNever;
+  next_kind_ = lines_up && fault == Fault::Refused ? Kind::Watch : Kind::Poll;
   return !pushed_ && !others;
 }
 
--- a/src/membership/call_schedule.hpp
+++ b/src/membership/call_schedule.hpp
@@ -120,8 +120,6 @@
   Micros agent_period() const;
   /// Of a watch there.
   Micros agent_wait() const;
-  /// So long a router that was answered leaves the line to others, the longer the more that `took`.
-  Micros give_way(Micros took, double chance) const;
   void stretch(double by);
   void drop_before(Micros begun);
   /// Until the next call after one that failed.
