--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -357,9 +357,7 @@
   bool stays = later_one_waits && !watch_is_out && fault == Fault::Refused && next_ != kNever;
   if (!stays) next_ = next_ == kNever ? again : std::min(next_, again);
   next_ = std::max(next_, not_before_);
-  // Who has a list needs no more than a watch, which leaves the line for good once it is up.
-  bool lines_up = line_ && !pushed_ && !others && answered_at_ != kNever;
-  next_kind_ = lines_up && fault == Fault::Refused ? Kind::Watch : Kind::Poll;
+  next_kind_ = Kind::Poll;
   return !pushed_ && !others;
 }
 
