--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -21,7 +21,7 @@
 // answer the next watch begins. What falls silent before that is known with 6 to 12 s to spare; the
 // watch that could fall silent after it is gone. Two calls in some 17 s, where waiting for the end
 // needed one in 20 s and left 1 s.
-constexpr Micros kLead = 4 * kSecond, kMostLead = 10 * kSecond;
+constexpr Micros kLead = 4500 * kMilli, kMostLead = 10 * kSecond;
 // Where discovery has no time for that, waits grow: by calls turned away, and by answers that took
 // this long. Twice as long is 56 s, of the 60 s that discovery takes.
 constexpr double kMostStretch = 2, kStretchRefused = 1.5, kStretchSlow = 1.25, kUnstretch = 0.8;
--- a/tests/membership/list_subscription_test.cpp
+++ b/tests/membership/list_subscription_test.cpp
@@ -250,6 +250,7 @@
   f.pass(10 * kMilli);
   f.answer(watch, list("12", false, {host("a", Health::Draining)}));
   EXPECT_FALSE(f.ready("a"));
+  f.pass(300 * kMilli);
   EXPECT_EQ(f.last().path, "/discovery/hosts");  // what the new one says of it
 }
 
@@ -274,6 +275,7 @@
   f.answer(f.last(), list("11", false, {}));
   f.answer(watch, list("12", false, {host("a", Health::Draining), host("a")}));
   EXPECT_FALSE(f.ready("a"));
+  f.pass(300 * kMilli);
   EXPECT_EQ(f.last().path, "/discovery/hosts");
 }
 
@@ -287,6 +289,7 @@
   f.pass(10 * kMilli);
   f.answer(watch, list("12", false, {host("a", Health::Draining), host("a")}));
   EXPECT_FALSE(f.ready("a"));
+  f.pass(300 * kMilli);
   EXPECT_EQ(f.last().path, "/discovery/hosts");
 }
 
