Lists: a pause for the line's sake is not cut short; tests of what a line asks for

The new test of doubling pauses found that the plan to call beside a call that had ended cut the pause short (0.5 s in place of 1.75 s).

--- a/src/membership/call_schedule.cpp
+++ b/src/membership/call_schedule.cpp
@@ -355,7 +355,9 @@
   if (unusable_ > 0 && unusable_ <= kQuickAgain)
     again = now + kLeastAgain + static_cast<Micros>(kAgainSpread * tier_calls() * chance);
   bool stays = later_one_waits && !watch_is_out && fault == Fault::Refused && next_ != kNever;
-  if (!stays) next_ = next_ == kNever ? again : std::min(next_, again);
+  // A pause for the line's sake is not cut short by what was planned beside the call that has
+  // ended.
+  if (!stays) next_ = next_ == kNever || queued ? again : std::min(next_, again);
   next_ = std::max(next_, not_before_);
   next_kind_ = Kind::Poll;
   return !pushed_ && !others;
--- a/tests/membership/call_schedule_test.cpp
+++ b/tests/membership/call_schedule_test.cpp
@@ -393,5 +393,89 @@
   EXPECT_FALSE(schedule.overdue(now));
 }
 
+// What a line at discovery asks for (docs/incidents/2026-12-02-drain-under-fault-injection.md).
+
+constexpr double kMiddle = 0.5;
+
+/// The time of the next call, which is made then.
+Micros next_call(CallSchedule& schedule, CallSchedule::Call& made) {
+  Micros t = schedule.next();
+  while (true) {
+    if (auto call = schedule.advance(t, kMiddle)) {
+      made = *call;
+      return t;
+    }
+    if (schedule.next() <= t) ADD_FAILURE() << "stuck at " << t;
+    t = schedule.next();
+  }
+}
+
+TEST(CallSchedule, ACallThatMayWaitInLineKeepsItsPlaceForFourSeconds) {
+  CallSchedule schedule(44, false);
+  schedule.hold(0);
+  int slot = schedule.begin(0, kMiddle).value().slot;
+  schedule.failed(2 * kMilli, slot, Fault::Refused, kMiddle);
+  CallSchedule::Call waits, beside;
+  Micros begun = next_call(schedule, waits);
+  EXPECT_GE(next_call(schedule, beside) - begun, 4 * kSecond);
+}
+
+TEST(CallSchedule, ARefusedCallStartsNoOtherBesideOneThatWaitsInLine) {
+  CallSchedule schedule(44, false);
+  int first = schedule.begin(0, kMiddle).value().slot;
+  CallSchedule::Call second, third;
+  Micros begun = next_call(schedule, second);
+  schedule.failed(begun + 2 * kMilli, first, Fault::Refused, kMiddle);
+  EXPECT_GE(next_call(schedule, third) - begun, 4 * kSecond);
+}
+
+TEST(CallSchedule, PausesDoubleAfterCallsThatWaitedInVainAndAreShortAgainAfterAnAnswer) {
+  CallSchedule schedule(20, false);
+  schedule.hold(0);
+  Micros now = 0;
+  int slot = schedule.begin(now, kMiddle).value().slot;
+  Micros before = 0;
+  for (int k = 0; k < 3; ++k) {
+    now += 2 * kSecond;
+    schedule.failed(now, slot, Fault::Refused, kMiddle);
+    CallSchedule::Call call;
+    Micros begun = next_call(schedule, call);
+    EXPECT_GE(begun - now, k == 0 ? kSecond / 2 : 2 * before) << k;
+    before = begun - now, now = begun, slot = call.slot;
+  }
+  schedule.answered(now + kMilli, slot, false, kMiddle);
+  CallSchedule::Call watch;
+  EXPECT_LT(next_call(schedule, watch) - now, 10 * kMilli);
+}
+
+TEST(CallSchedule, BehindAChangeTheNextWatchIsANewAndShortOne) {
+  CallSchedule schedule(20, false);
+  Micros now = 10 * kMilli;
+  schedule.answered(now, schedule.begin(0, kMiddle).value().slot, true, kMiddle);
+  CallSchedule::Call watch;
+  Micros begun = next_call(schedule, watch);
+  EXPECT_LE(begun - now, kMilli);  // behind a list it goes on
+  EXPECT_GE(watch.wait, 20 * kSecond);
+  now = begun + 5 * kSecond;
+  schedule.answered(now, watch.slot, true, kMiddle);
+  EXPECT_FALSE(schedule.begin(now + 100 * kMilli, kMiddle).has_value());  // whoever asks
+  begun = next_call(schedule, watch);
+  EXPECT_GT(begun - now, 200 * kMilli);
+  EXPECT_LT(begun - now, 270 * kMilli);
+}
+
+TEST(CallSchedule, AFirstWatchBehindAChangeIsAskedAboutBeforeItsGapCounts) {
+  CallSchedule schedule(20, false);
+  schedule.answered(10 * kMilli, schedule.begin(0, kMiddle).value().slot, true, kMiddle);
+  CallSchedule::Call watch, check;
+  Micros now = next_call(schedule, watch) + 5 * kSecond;
+  schedule.answered(now, watch.slot, true, kMiddle);
+  Micros begun = next_call(schedule, watch);
+  EXPECT_EQ(watch.wait, 2 * kSecond);
+  EXPECT_LT(next_call(schedule, check) - now, 5 * kSecond);  // it is silent
+  EXPECT_EQ(check.wait, 0);
+  EXPECT_GT(begun, now);
+}
+
 }  // namespace
 }  // namespace robinseam::membership
