--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,7 +2,7 @@
 // further commands behind that read.
 //
 //   case ROOT FOLDER RECORD         the case
-//   case server PORT                one cache server, as a process of its own
+//   case server NAME PORT RECORD START   one cache server, as a process of its own
 #include "../stand-ins/stand_ins.hpp"
 
 using namespace review;
@@ -19,8 +19,14 @@
   return value;
 }
 
-int serve(int port) {
-  CacheServer server("", port, [](const Command& c, bool) {
+/// `start`: the case's start on the steady clock, in nanoseconds.
+int serve(const std::string& name, int port, const char* file, long long start) {
+  start_time() = Clock::time_point(std::chrono::nanoseconds(start));
+  record_file() = std::fopen(file, "a");
+  if (!record_file()) return 2;
+  std::setvbuf(record_file(), nullptr, _IOLBF, 1 << 12);  // it will be killed
+  CacheServer server(name, port, [name](const Command& c, bool) {
+    record("%s runs O%s", name.c_str(), c.id.c_str());
     CacheServer::Answer a;
     a.work_ms = random_between(22, 40);
     if (c.key.rfind("large", 0) != 0) {
@@ -39,17 +45,37 @@
   while (true) ::pause();
 }
 
-pid_t start_server(const char* program, int port) {
+pid_t start_server(const char* program, const ListedServer& server, const std::string& file) {
+  std::string port = std::to_string(server.port),
+              start =
+                  std::to_string(std::chrono::nanoseconds(start_time().time_since_epoch()).count());
   pid_t pid = ::fork();
   if (pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    std::string text = std::to_string(port);
-    ::execl(program, program, "server", text.c_str(), nullptr);
+    ::execl(program, program, "server", server.id.c_str(), port.c_str(), file.c_str(),
+            start.c_str(), nullptr);
     ::_exit(127);
   }
   return pid;
 }
 
+/// Merges the cache servers' records into the case's, by time.
+void merge_records(const std::string& main_file, const std::vector<std::string>& files) {
+  std::fflush(record_file());
+  std::vector<std::pair<double, std::string>> lines;
+  std::vector<std::string> all = files;
+  all.push_back(main_file);
+  for (const std::string& file : all) {
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);)
+      lines.emplace_back(std::atof(line.c_str()), line);
+  }
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  record_file() = std::freopen(main_file.c_str(), "w", record_file());
+  for (const auto& [at, line] : lines) std::fprintf(record_file(), "%s\n", line.c_str());
+}
+
 std::atomic<bool> done{false};
 std::atomic<int> served{0}, other{0}, broken_off{0}, wrong{0};
 
@@ -74,6 +100,7 @@
           sleep_ms(20);
           std::string key = "small-" + std::to_string(number) + "-" + std::to_string(k);
           if (!send_all(fd, read_line(key, ids[k], "price-lookup", 600))) return;
+          record("till %d has sent O%s", number, ids[k].c_str());
         }
       });
       for (int k = 0; k <= kSmallReads && open; ++k) {
@@ -90,10 +117,12 @@
           bool right = line == "VA " + std::to_string(size) + " O" + ids[k] &&
                        value == value_of(ids[k], size) + "\r\n";
           ++(right ? served : wrong);
+          record("till %d has read the value of O%s", number, ids[k].c_str());
           if (!right)
             record("till %d: WRONG DATA for O%s: %s", number, ids[k].c_str(), line.c_str());
         } else {
           ++other;
+          record("till %d got for O%s: %s", number, ids[k].c_str(), line.c_str());
         }
       }
       if (!open) ::shutdown(fd, SHUT_RDWR);
@@ -106,13 +135,16 @@
 }  // namespace
 
 int main(int count, char** arguments) {
-  if (count == 3 && std::string(arguments[1]) == "server") return serve(std::atoi(arguments[2]));
+  if (count == 6 && std::string(arguments[1]) == "server")
+    return serve(arguments[2], std::atoi(arguments[3]), arguments[4], std::atoll(arguments[5]));
   Case here(count, arguments);
   std::vector<ListedServer> list;
   std::vector<pid_t> pids;
+  std::vector<std::string> files;
   for (int k = 0; k < kServers; ++k) {
     list.push_back({"s-" + std::to_string(k), free_port()});
-    pids.push_back(start_server(arguments[0], list.back().port));
+    files.push_back(here.folder + "/" + list.back().id + ".txt");
+    pids.push_back(start_server(arguments[0], list.back(), files.back()));
   }
   DiscoveryService discovery(list);
   Settings settings;
@@ -131,7 +163,7 @@
     }
     wait(3000);
     if (!trouble()) continue;
-    pids[0] = start_server(arguments[0], list[0].port);
+    pids[0] = start_server(arguments[0], list[0], files[0]);
     list[0].born_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                           std::chrono::system_clock::now().time_since_epoch())
                           .count();
@@ -147,6 +179,8 @@
   record("router: %s", status.c_str());
   router.record_log();
   for (pid_t pid : pids) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
+  for (std::thread& till : tills) till.join();
+  merge_records(arguments[3], files);
   if (served == 0) cannot_run("nothing was served");
   if (crashed) here.finish(router, false, "the router crashed: " + status);
   if (wrong > 0) here.finish(router, false, "a till got a value that is not its own");
--- a/review/stand-ins/stand_ins.hpp
+++ b/review/stand-ins/stand_ins.hpp
@@ -14,6 +14,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
