Requests behind a value cut short are ended with their connection, not left in the core

Cause: ClientConnection::flush() destroyed all slots of such a connection and then called ClientSide::close(), which tells the core of each open slot that its client is gone. By then there was no slot left to tell of, and the core kept pointers to the freed ones (Core::Open::sink).

Evidence: TruncatedValue.RequestsBehindItAreForgottenWithTheirConnection under AddressSanitizer on the old code: heap-use-after-free in Core::give_reply, from Core::on_attempt_ended; plainly it failed with gone 0 for 1 and crashed.

Change: the destructor of an unanswered slot tells the core, so that no way of destroying one can leave a pointer behind; the extra clear is gone. The same cause on related paths: ClientSide's destructor destroyed its connections without telling the core (TruncatedValue.RequestsAreForgottenWithTheirClientSide, failed before with gone 0 for 1); it closes them now. Looked at and sound: the external processor's requests (removed only with their reply or after on_client_gone), the pipe's callbacks (cleared at either end), ServerSide's pending attempts (copies, no pointers into requests).

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -306,7 +306,6 @@
     }
     // The announced length cannot be delivered; closing is the only way to report that.
     if (out_.empty() && value_truncated_) {
-      slots_.clear();
       side_.close(*this);
       return;
     }
@@ -441,6 +440,7 @@
 
 ClientSlot::~ClientSlot() {
   ClientSide& side = connection->side_;
+  if (id && !done) side.core_.on_client_gone(id);
   side.bulk_bytes_ -= bulk;
   if (!pipe) return;
   --side.streaming_values_;
@@ -461,7 +461,10 @@
   event_add(sweep_event_.get(), &every);
 }
 
-ClientSide::~ClientSide() = default;
+ClientSide::~ClientSide() {
+  // While all members exist: the end of a request may answer another one.
+  while (!connections_.empty()) close(*connections_.back());
+}
 
 bool ClientSide::listen(const sockaddr_in& address, std::string& error, bool shared) {
   Fd fd = listen_at(address, shared, error);
@@ -612,8 +615,6 @@
 void ClientSide::close(ClientConnection& c) {
   if (c.closed_) return;
   c.closed_ = true;
-  for (ClientSlot& slot : c.slots_)
-    if (slot.id && !slot.done) core_.on_client_gone(slot.id);
   c.slots_.clear();
   c.read_.reset();
   c.write_.reset();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -17,7 +17,8 @@
 class ClientConnection;
 
 /// One command's place in the order of answers of its connection. Owned by the connection and
-/// destroyed when the command is answered, or with the connection (the core is notified of that).
+/// destroyed when the command is answered, or with the connection. The core holds a pointer to it
+/// as long as its request is open, so the destructor of an unanswered one tells the core.
 struct ClientSlot final : ReplySink {
   ClientConnection* connection = nullptr;
   RequestId id = 0;
--- /dev/null
+++ b/tests/net/truncated_value_test.cpp
@@ -0,0 +1,60 @@
+// Large values that a cache server stops sending, and the requests pipelined behind them.
+#include "client_side_fixture.hpp"
+
+namespace arrowfork::test {
+namespace {
+
+constexpr std::size_t kValueBytes = 100;
+
+/// Answers the attempt with this number with a value that arrives through the returned pipe.
+std::shared_ptr<ValuePipe> begin_value(Clients& clients, std::size_t number) {
+  auto pipe = std::make_shared<ValuePipe>(kValueBytes, kValueBytes);
+  AttemptResult result;
+  result.pipe = pipe;
+  clients.core.on_attempt_ended(clients.out[number].first, clients.out[number].second, Status::Ok,
+                                std::move(result));
+  return pipe;
+}
+
+// Guards against a crash: a cache server's reset cut a value short, its connection was closed, and
+// the reply to the request behind it was written to that connection's freed memory.
+TEST(TruncatedValue, RequestsBehindItAreForgottenWithTheirConnection) {
+  Clients clients;
+  TestConnection link = clients.connect();
+  link.write(get("large") + get("behind"));
+  clients.run_until([&] { return clients.sent.size() == 2; });
+  std::shared_ptr<ValuePipe> value = begin_value(clients, 0);
+  value->put("the first bytes");
+  clients.run();
+  value->fail();
+  clients.run();
+  EXPECT_EQ(clients.side.connections(), 0u);
+  EXPECT_EQ(clients.core.counts().gone, 1u);
+  EXPECT_EQ(clients.core.unanswered(), 0u);
+  clients.serve(1, "v");
+  clients.run();
+  EXPECT_EQ(link.line(), "VA 100 Olarge\r\n");
+  EXPECT_EQ(link.read_to_end(), "the first bytes");
+}
+
+// The same for the whole ClientSide: the core, which outlives it, keeps no pointer into it.
+TEST(TruncatedValue, RequestsAreForgottenWithTheirClientSide) {
+  Clients clients;
+  ManualClock clock;
+  auto side = std::make_unique<ClientSide>(clients.base.get(), clock, clients.core, clients,
+                                           ClientSide::Limits());
+  std::string error;
+  ASSERT_TRUE(side->listen(*parse_address("127.0.0.1:0"), error)) << error;
+  TestConnection link = TestConnection::to(side->port());
+  link.write(get("r1"));
+  clients.run_until([&] { return clients.sent.size() == 1; });
+  side.reset();
+  EXPECT_EQ(clients.core.counts().gone, 1u);
+  clients.serve(0, "v");
+  clients.run();
+  EXPECT_EQ(clients.core.open_requests(), 0u);
+  EXPECT_TRUE(link.is_closed());
+}
+
+}  // namespace
+}  // namespace arrowfork::test
