A large value that fails before its turn is answered as failed; its connection goes on

What callers saw: where an earlier answer was still due, a large value whose server broke off was begun all the same once its turn came, cut short, and the connection closed: the request and those behind it got no answer. PROTOCOL allows that for a value "that the router has begun to pass on" only.

Cause: ClientConnection::advance() wrote the head of a streamed value without asking whether its pipe had failed in the meantime.

Change: a value that has failed before its head is written is answered by the protocol's failure, and the answers behind it follow. The codecs have one place for that answer.

Result: TruncatedValue.OneThatFailsBeforeItsTurnGetsAFailureAnswer failed before ("VA 100 Olarge" and an end for "SERVER_ERROR failed" and the answer behind); it passes with the other 32 tests of TruncatedValue, LargeValues and Endings.

--- a/src/net/client_codec.cpp
+++ b/src/net/client_codec.cpp
@@ -93,8 +93,11 @@
   }
 }
 
-std::string MetaClientCodec::reply(const CommandTag&, const Request& request, Reply&& reply) const {
-  if (reply.kind == Reply::Kind::Failed) return "SERVER_ERROR failed\r\n";
+std::string MetaClientCodec::failure(const CommandTag&) const { return "SERVER_ERROR failed\r\n"; }
+
+std::string MetaClientCodec::reply(const CommandTag& tag, const Request& request,
+                                   Reply&& reply) const {
+  if (reply.kind == Reply::Kind::Failed) return failure(tag);
   if (reply.kind == Reply::Kind::Refused)
     return "SERVER_ERROR " + busy_text(reply.retry_after) + "\r\n";
   if (request.write) return "HD O" + request.id + " c" + reply.receipt + "\r\n";
@@ -191,6 +194,10 @@
                           tag.opaque, busy ? "busy" : "bad class");
 }
 
+std::string BinaryClientCodec::failure(const CommandTag& tag) const {
+  return binary::response(tag.opcode, binary::status::kInternal, tag.opaque, "failed");
+}
+
 std::string BinaryClientCodec::reply(const CommandTag& tag, const Request& request,
                                      Reply&& reply) const {
   if (reply.cache_miss && !request.write)
@@ -200,8 +207,7 @@
   if (reply.kind == Reply::Kind::Refused)
     return binary::response(tag.opcode, binary::status::kBusy, tag.opaque,
                             busy_text(reply.retry_after));
-  if (reply.kind == Reply::Kind::Failed)
-    return binary::response(tag.opcode, binary::status::kInternal, tag.opaque, "failed");
+  if (reply.kind == Reply::Kind::Failed) return failure(tag);
   if (!request.write)
     return binary::response(tag.opcode, binary::status::kOk, tag.opaque, reply.value, request.key,
                             reply.flags, 0, reply.pipe ? reply.pipe->length() : 0);
--- a/src/net/client_codec.hpp
+++ b/src/net/client_codec.hpp
@@ -49,6 +49,8 @@
   virtual bool awaits_barrier() const { return false; }
   /// The answer to a request that the core did not accept.
   virtual std::string rejection(const CommandTag& tag, Core::SubmitResult why) const = 0;
+  /// The answer to a request that failed and may have had an effect.
+  virtual std::string failure(const CommandTag& tag) const = 0;
   /// The answer; where `reply` streams its value, only the part in front of the value.
   virtual std::string reply(const CommandTag& tag, const Request& request, Reply&& reply) const = 0;
   /// The bytes that follow a streamed value.
@@ -67,6 +69,7 @@
     return reader_.value_in_progress_bytes();
   }
   std::string rejection(const CommandTag& tag, Core::SubmitResult why) const override;
+  std::string failure(const CommandTag& tag) const override;
   std::string reply(const CommandTag& tag, const Request& request, Reply&& reply) const override;
   std::string_view value_trailer() const override { return "\r\n"; }
 
@@ -85,6 +88,7 @@
   bool in_command() const override { return reader_.in_command(); }
   bool awaits_barrier() const override { return awaits_barrier_; }
   std::string rejection(const CommandTag& tag, Core::SubmitResult why) const override;
+  std::string failure(const CommandTag& tag) const override;
   std::string reply(const CommandTag& tag, const Request& request, Reply&& reply) const override;
   std::string_view value_trailer() const override { return {}; }
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -258,6 +258,8 @@
   void advance() {
     while (!slots_.empty() && slots_.front().done && !value_truncated_) {
       ClientSlot& slot = slots_.front();
+      bool unbegun = !slot.text.empty();
+      if (unbegun && slot.pipe && slot.pipe->failed()) replace_value_by_failure(slot);
       out_ += std::exchange(slot.text, {});
       if (ValuePipe* pipe = slot.pipe.get()) {
         while (out_.size() - out_at_ < pipe->window()) {
@@ -278,6 +280,15 @@
     }
   }
 
+  /// A value that fails before its first byte is passed on has a failure as its answer, and the
+  /// connection goes on.
+  void replace_value_by_failure(ClientSlot& slot) {
+    slot.release_pipe();
+    release_bytes(slot.text.size());
+    slot.text = codec_->failure(slot.tag);
+    reserve_bytes(slot.text.size());
+  }
+
   void flush() {
     while (!closed_ && (advance(), out_at_ < out_.size())) {
       ssize_t put = ::send(fd_.get(), out_.data() + out_at_, out_.size() - out_at_, MSG_NOSIGNAL);
@@ -442,9 +453,14 @@
   ClientSide& side = connection->side_;
   if (id && !done) side.core_.on_client_gone(id);
   side.bulk_bytes_ -= bulk;
+  release_pipe();
+}
+
+void ClientSlot::release_pipe() {
   if (!pipe) return;
-  --side.streaming_values_;
+  --connection->side_.streaming_values_;
   pipe->abandon();
+  pipe.reset();
 }
 
 ClientSide::ClientSide(event_base* base, const TimeSource& clock, Core& core,
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -31,6 +31,8 @@
 
   ~ClientSlot();
   void on_reply(const Request& request, Reply&& reply) override;
+  /// Ends the reading of the value that `pipe` streams, if any.
+  void release_pipe();
 };
 
 class ClientSide {
--- a/tests/net/truncated_value_test.cpp
+++ b/tests/net/truncated_value_test.cpp
@@ -37,6 +37,30 @@
   EXPECT_EQ(link.read_to_end(), "the first bytes");
 }
 
+// Guards against lost requests: nothing of the value had been passed on yet, since an earlier
+// answer was due, and yet its connection was closed, with no answer to it and to the requests
+// behind it.
+TEST(TruncatedValue, OneThatFailsBeforeItsTurnGetsAFailureAnswer) {
+  Clients clients;
+  TestConnection link = clients.connect();
+  link.write(get("first") + get("large") + get("behind"));
+  clients.run_until([&] { return clients.sent.size() == 3; });
+  std::shared_ptr<ValuePipe> value = begin_value(clients, 1);
+  value->put("the first bytes");
+  clients.serve(2, "v");
+  clients.run();
+  value->fail();
+  clients.run();
+  EXPECT_TRUE(link.stays_silent(0));
+  clients.serve(0, "v");
+  clients.run();
+  expect_served(link, "first");
+  EXPECT_EQ(link.line(), "SERVER_ERROR failed\r\n");
+  expect_served(link, "behind");
+  EXPECT_EQ(clients.side.streaming_values(), 0u);
+  clients.round_trip(link);  // the connection can still be used
+}
+
 // The same for the whole ClientSide: the core, which outlives it, keeps no pointer into it.
 TEST(TruncatedValue, RequestsAreForgottenWithTheirClientSide) {
   Clients clients;
