A connection with a value cut short ends like any other: shut down, read on, then closed

What callers saw: where a value was cut short behind a whole answer that its client was still reading, and a command lay unread in the socket, the close reset the connection, and the rest of the whole answer was lost with it.

Cause: ClientConnection::flush() closed the socket at once, where every other end shuts down its sending and lingers (docs/design/endings.md).

Change: the slots are dropped, which tells the core, and the connection finishes as others do.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -315,9 +315,8 @@
       out_.erase(0, out_at_);
       out_at_ = 0;
     }
-    // The announced length cannot be delivered; closing is the only way to report that.
     if (out_.empty() && value_truncated_) {
-      side_.close(*this);
+      finish_after_truncated_value();
       return;
     }
     if (eof_ && !unparsed_input_.empty()) parse_buffered();
@@ -345,6 +344,12 @@
     if (result == ClientSide::HandOverResult::NotSent && still_idle_after_read()) finish();
   }
 
+  /// The announced length cannot be delivered, which only the end of the connection can tell.
+  void finish_after_truncated_value() {
+    slots_.clear();
+    finish();
+  }
+
   /// Closes after the last answer.
   void finish() {
     if (lingering_) return;
--- a/tests/net/client_side_fixture.hpp
+++ b/tests/net/client_side_fixture.hpp
@@ -121,6 +121,16 @@
   bool attempts_unwritten = false;
 };
 
+/// A client that the system lets fall behind: little fits into its receive buffer.
+inline TestConnection connect_with_small_buffer(std::uint16_t port) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  int small = 4096;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  auto address = parse_address("127.0.0.1:" + std::to_string(port));
+  EXPECT_EQ(::connect(fd.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address), 0);
+  return TestConnection(std::move(fd));
+}
+
 inline void expect_served(TestConnection& link, const std::string& id) {
   EXPECT_EQ(link.line(), "VA 1 O" + id + "\r\n");
   EXPECT_EQ(link.line(), "v\r\n");
