No command is taken behind a value that was cut short

What callers saw: while the written part of a cut value waited for a slow reader, further commands on that connection were read and run, and then ended with the connection, without an answer.

Cause: only a complete command line decided whether a connection is read; a value cut short, after which nothing can be answered there, did not count.

Change: ClientConnection::may_parse() is false from then on, as behind lost framing.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -196,7 +196,7 @@
   /// Back-pressure: limits pending commands and answers, per client and for all clients together. A
   /// connection with nothing pending is always read, so that none starves behind others.
   bool may_parse() const {
-    if (waits_for_bulk_) return false;
+    if (waits_for_bulk_ || value_truncated_) return false;
     if (slots_.empty() && out_.empty()) return true;
     return slots_.size() < kMaxPipelinedCommands && held_bytes_ < kMaxHeldBytes &&
            side_.held_bytes_ < side_.limits_.held_bytes;
--- a/tests/net/truncated_value_test.cpp
+++ b/tests/net/truncated_value_test.cpp
@@ -58,6 +58,24 @@
   EXPECT_EQ(link.read_to_end(), "the first bytes");
 }
 
+// Guards against lost requests: commands that came while the rest of the value waited for a slow
+// reader were run, though they could not be answered any more.
+TEST(TruncatedValue, NoCommandIsTakenBehindIt) {
+  constexpr std::size_t kWindow = 64u << 10;
+  Clients clients;
+  TestConnection link = connect_with_small_buffer(clients.side.port());
+  link.write(get("large"));
+  clients.run_until([&] { return clients.sent.size() == 1; });
+  std::shared_ptr<ValuePipe> value = begin_value(clients, 0, 64u << 20, kWindow);
+  for (TestDeadline deadline; !value->full() && deadline.left(); clients.turn())
+    value->put(std::string(kWindow, 'v'));  // until the client's buffers are full
+  value->fail();
+  clients.turn();
+  link.write(get("behind"));
+  clients.run();
+  EXPECT_EQ(clients.sent.size(), 1u);
+}
+
 // Guards against lost requests: nothing of the value had been passed on yet, since an earlier
 // answer was due, and yet its connection was closed, with no answer to it and to the requests
 // behind it.
