A shutdown accepts only what it can still answer, and answers all that is open before it ends

Cause: Router::on_stop_step() ends the process at a fixed time after SIGTERM, and ClientConnection took every command that came before it, also from connections kept open in the middle of one. Nothing compared the time left with what a request needs. Commands that were read behind 32 others were submitted as late.

Change: the steps of a shutdown have times of their own (core/shutdown_schedule): stop listening, answers due, end. From SIGTERM on the core accepts a request only if the time until answers are due is enough for it (its own time, or the objective of its class) and limits its deadline to that; others are refused at once. When answers are due, the core replies to whatever is open, the client side reads what has arrived and no more, and connections in the middle of a command are shut down, 0.15 s before the end of the process. Any frontend of the core has the same limits. Not taken: closing connections in the middle of a command at the first step, since most of those commands can be served.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -68,6 +68,13 @@
     record_refused(request.class_name);
     return SubmitResult::TableFull;
   }
+  Micros now = clock_.now();
+  // A request stays open no longer than its class allows; a longer time would only hold its memory.
+  Micros time_left = std::min(request.time_left, request_class->deadline);
+  if (is_too_late(now, time_left, *request_class)) {
+    record_refused(request.class_name);
+    return SubmitResult::ShuttingDown;
+  }
   ++counts_.requests;
   ++unanswered_;
   if (own_id)
@@ -78,8 +85,8 @@
   Open& open = open_[id];
   open.sink = &sink;
   open.sender = &sender;
-  // A request stays open no longer than its class allows; a longer time would only hold its memory.
-  open.deadline = clock_.now() + std::min(request.time_left, request_class->deadline);
+  open.deadline = now + time_left;
+  if (answers_due_at_ > 0) open.deadline = std::min(open.deadline, answers_due_at_);
   // A work hint beyond the deadline would distort the balancer's mean values.
   request.deduplicated =
       request.write && !request.idempotency_key.empty() && sender.supports_idempotency_key(request);
@@ -89,6 +96,16 @@
   return SubmitResult::Accepted;
 }
 
+/// During a shutdown: whether the time until its reply is due is too short for a request, that is
+/// shorter than its own and than the latency objective of its class.
+bool Core::is_too_late(Micros now, Micros time_left,
+                       const robinseam::ClassSettings& request_class) const {
+  if (answers_due_at_ == 0) return false;
+  Micros objective = request_class.latency_objective;
+  Micros needed = objective > 0 ? std::min(time_left, objective) : time_left;
+  return answers_due_at_ - now < needed;
+}
+
 std::string Core::make_id() {
   constexpr char kHex[] = "0123456789abcdef";
   std::uint64_t bits = mix_bits(id_seed_++);
@@ -149,21 +166,36 @@
   }
 }
 
-/// Replies to a half-closed client once no attempt is in flight. The reply is Refused (safe to
-/// retry) only if no attempt has run; a write with an idempotency key fails instead, since an
-/// earlier try of the client may have run.
-void Core::answer_half_closed(Open& open) {
-  if (open.answered || std::any_of(open.attempts.begin(), open.attempts.end(),
-                                   [](const Attempt& one) { return one.sender_owes_end; }))
-    return;
+/// The reply is Refused (safe to retry) only if no attempt has run; a write with an idempotency key
+/// fails instead, since an earlier try of the client may have run.
+Reply Core::reply_without_further_attempts(const Open& open) {
   Reply reply;
   if (open.request.idempotency_key.empty() &&
       std::none_of(open.attempts.begin(), open.attempts.end(),
-                   [](const Attempt& one) { return one.may_have_run; })) {
-    ++counts_.refused;
+                   [](const Attempt& one) { return one.may_have_run; }))
     reply.kind = Reply::Kind::Refused;
+  return reply;
+}
+
+/// Replies to a half-closed client once no attempt is in flight.
+void Core::answer_half_closed(Open& open) {
+  if (open.answered || std::any_of(open.attempts.begin(), open.attempts.end(),
+                                   [](const Attempt& one) { return one.sender_owes_end; }))
+    return;
+  give_reply(open, reply_without_further_attempts(open));
+}
+
+void Core::answer_all() {
+  std::vector<RequestId> unanswered;  // withdrawing an attempt may end other requests
+  for (const auto& [id, open] : open_)
+    if (!open.answered) unanswered.push_back(id);
+  for (RequestId id : unanswered) {
+    auto it = open_.find(id);
+    if (it == open_.end() || it->second.answered) continue;
+    withdraw_unsent(id, it->second);
+    give_reply(it->second, reply_without_further_attempts(it->second));
+    events_.push_back(ClientGoneEvent{id});
   }
-  give_reply(open, std::move(reply));
 }
 
 void Core::on_client_gone(RequestId id) {
@@ -181,6 +213,7 @@
 
 void Core::give_reply(Open& open, Reply&& reply) {
   counts_.failed += reply.kind == Reply::Kind::Failed;
+  counts_.refused += reply.kind == Reply::Kind::Refused;
   unanswered_ -= !open.answered;
   if (Counts::Replies* replies = replies_of(open.request.class_name))
     ++(reply.kind == Reply::Kind::Served    ? replies->served
@@ -408,7 +441,6 @@
 void Core::apply(const robinseam::Refuse& a) {
   auto it = open_.find(a.id);
   if (it == open_.end() || it->second.answered) return;
-  ++counts_.refused;
   Reply reply;
   reply.kind = Reply::Kind::Refused;
   reply.retry_after = a.retry_after;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -96,10 +96,17 @@
     InvalidClass,  ///< no such class, or a read in a class of keyed writes
     IdInUse,       ///< a request with this id is open or has ended a moment ago
     TableFull,     ///< the table is full; refused without asking the balancer
+    ShuttingDown,  ///< too late to be answered before the process ends; refused in the same way
   };
   /// Accepts a request and sets `id`. `sink` and `sender` are called until the request has ended,
   /// `sink` not after on_client_gone(). The balancer sees the request in the next process_events().
   SubmitResult submit(Request&& request, ReplySink& sink, AttemptSender& sender, RequestId& id);
+  /// Planned shutdown: no reply is given later than `at`. From now on a request is accepted only if
+  /// the time until then is enough for it, and its deadline is `at` at the latest.
+  void answer_by(Micros at) { answers_due_at_ = at; }
+  /// Planned shutdown: replies to every open request at once, Refused where none of its attempts
+  /// can have run. Attempts in flight are cancelled.
+  void answer_all();
   /// The client sends no more but may still read. No further attempt is sent for the request;
   /// attempts that are not fully sent a moment later are withdrawn; those that may run are awaited.
   void on_client_half_closed(RequestId id);
@@ -221,6 +228,9 @@
   Counts::Replies* replies_of(const std::string& class_name);
   void give_reply(Open& open, Reply&& reply);
   void withdraw_unsent(RequestId id, Open& open);
+  static Reply reply_without_further_attempts(const Open& open);
+  bool is_too_late(Micros now, Micros time_left,
+                   const robinseam::ClassSettings& request_class) const;
   void answer_half_closed(Open& open);
   void queue_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result,
                      bool paused = false);
@@ -240,6 +250,7 @@
   std::array<std::unordered_set<std::string>, 2> recent_ids_;
   Micros ids_rotated_at_ = 0;
   std::size_t max_open_, max_ids_;
+  Micros answers_due_at_ = 0;  // 0: no shutdown is planned
   std::size_t unanswered_ = 0;
   std::deque<Event> events_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -249,6 +249,7 @@
     case Core::SubmitResult::IdInUse:
       return reject_invalid(stream, options_.id_header);
     case Core::SubmitResult::TableFull:
+    case Core::SubmitResult::ShuttingDown:
       ++counts_.refused;
       streams_.erase(stream);
       send_immediate_response(stream, 429, "busy");
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -329,6 +329,11 @@
         hand_over_or_close();
         return;
       }
+      bool all_parsed = unparsed_input_.empty() || waits_for_bulk_;
+      if (side_.phase_ == ClientSide::Phase::Finishing && all_parsed) {
+        finish();  // half a command
+        return;
+      }
     }
     if (!unparsed_input_.empty() && !closed_) parse_buffered();
     update_reading();
@@ -337,7 +342,7 @@
   /// Hands the connection over or closes it, between two requests.
   void hand_over_or_close() {
     if (lingering_) return;
-    ClientSide::HandOverResult result = side_.draining_ && side_.hand_over_
+    ClientSide::HandOverResult result = side_.shutting_down() && side_.hand_over_
                                             ? side_.hand_over_(fd_.get())
                                             : ClientSide::HandOverResult::NotSent;
     if (result == ClientSide::HandOverResult::Sent) side_.close(*this);
@@ -367,9 +372,10 @@
     if (closed_ || eof_ || lingering_) return;
     reserve_bulk();
     bool want = unparsed_input_.empty() && !broken_ && may_parse();
-    // While draining, commands under way are answered and no more are read: later input is for the
+    // In a shutdown, commands under way are answered and no more are read: later input is for the
     // next process, or crosses our close.
-    if (side_.draining_ && !slots_.empty() && between_requests()) want = false;
+    if (side_.shutting_down() && !slots_.empty() && between_requests()) want = false;
+    if (side_.phase_ == ClientSide::Phase::Finishing) want = false;
     if (want == reading_) return;
     reading_ = want;
     want ? event_add(read_.get(), nullptr) : event_del(read_.get());
@@ -380,7 +386,8 @@
     if (!unparsed_input_.empty() && !waits_for_bulk_) parse_buffered();  // limits may have freed up
     update_reading();
     if (closed_) return;
-    if (side_.closing() && has_no_work() && between_requests() && !lingering_ && !side_.draining_ &&
+    if (side_.closing() && has_no_work() && between_requests() && !lingering_ &&
+        !side_.shutting_down() &&
         (now - since_ > kDrainIdleTimeout || now - side_.operator_drain_since_ > kDrainCloseAll)) {
       if (still_idle_after_read()) finish();
       return;
@@ -556,7 +563,8 @@
 }
 
 bool ClientSide::closing() const {
-  return draining_ || (operator_drain_ && clock_.now() - operator_drain_since_ > kDrainNoticed);
+  return shutting_down() ||
+         (operator_drain_ && clock_.now() - operator_drain_since_ > kDrainNoticed);
 }
 
 /// Evicts the oldest connection of the first kind that has one: lingering after its last answer,
@@ -621,7 +629,7 @@
   Micros now = clock_.now();
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
     if (k < connections_.size()) connections_[k]->sweep(now);
-  if (accept_paused_ && !draining_ && !accepting_suspended_) {
+  if (accept_paused_ && !shutting_down() && !accepting_suspended_) {
     accept_paused_ = false;
     event_add(accept_event_.get(), nullptr);
   }
@@ -678,20 +686,31 @@
 
 void ClientSide::drain() {
   // Retries connections that could not be handed over, or whose receiving process has ended.
-  if (draining_)
+  if (shutting_down())
     for (auto& c : connections_) mark_dirty(*c);
-  if (draining_ || !listener_) return;
+  if (shutting_down() || !listener_) return;
   if (accept_paused_) event_add(accept_event_.get(), nullptr);
   if (!hand_over_) accept_pending(4096);
-  draining_ = true;
+  phase_ = Phase::Draining;
   accept_event_.reset();
   listener_.reset();
   // Bytes already in a socket's buffer were accepted: they are read before the connection closes.
-  for (std::size_t k = connections_.size(); k-- > 0;) {
+  if (!hand_over_) read_pending_input();
+  for (auto& c : connections_) mark_dirty(*c);
+}
+
+void ClientSide::finish_all() {
+  if (phase_ == Phase::Finishing) return;
+  read_pending_input();  // it may complete a command, which then gets an answer
+  phase_ = Phase::Finishing;
+  for (auto& c : connections_) mark_dirty(*c);
+}
+
+void ClientSide::read_pending_input() {
+  for (std::size_t k = connections_.size(); k-- > 0;) {  // from the end: closing moves the last one
     if (k >= connections_.size()) continue;
     ClientConnection& c = *connections_[k];
-    if (!hand_over_ && c.reading_ && !c.eof_ && !c.lingering_) c.read();
-    mark_dirty(c);
+    if (c.reading_ && !c.eof_ && !c.lingering_) c.read();
   }
 }
 
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -83,6 +83,9 @@
   /// Planned shutdown: accepts the connections that wait in the backlog, stops listening, and
   /// closes every connection as soon as it is between requests.
   void drain();
+  /// The part of a planned shutdown after drain(): reads what has arrived and no more, and closes
+  /// every connection as soon as all that was read is answered, also in the middle of a command.
+  void finish_all();
   /// The last step of the process: flushes the output and shuts the sockets down so that answers
   /// already written are not destroyed by a reset.
   void shut_down();
@@ -97,6 +100,13 @@
  private:
   friend class ClientConnection;
   friend struct ClientSlot;
+  /// Of a planned shutdown.
+  enum class Phase {
+    Serving,
+    Draining,   ///< by drain()
+    Finishing,  ///< by finish_all()
+  };
+  bool shutting_down() const { return phase_ != Phase::Serving; }
   /// Sets the complete, final answer of a command.
   void answer(ClientSlot& slot, std::string text, std::shared_ptr<ValuePipe> pipe = nullptr);
   static void on_accept(evutil_socket_t, short, void* self);
@@ -109,6 +119,8 @@
   /// Closes the connection whose loss does least harm; false if all are in use.
   bool evict_connection();
   void sweep();
+  /// Reads once from every connection that is being read.
+  void read_pending_input();
   /// Schedules a check whether clients have closed connections that are not being read.
   void schedule_disconnect_check();
   static void on_disconnect_check(evutil_socket_t, short, void* self);
@@ -126,7 +138,7 @@
   Fd listener_;
   EventPtr accept_event_, sweep_event_, disconnect_check_event_;
   bool accept_paused_ = false;
-  bool draining_ = false;
+  Phase phase_ = Phase::Serving;
   bool accepting_suspended_ = false;
   bool operator_drain_ = false;
   Micros operator_drain_since_ = 0;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -23,11 +23,7 @@
 // Memory per remembered request id of one time span: ids of two spans, about 100 bytes each, use a
 // fifth of the memory.
 constexpr std::size_t kMemoryPerIdBytes = 1024;
-// After SIGTERM the load balancer still sends new connections for up to 0.4 s, and the router need
-// not serve those that come after 0.7 s: it stops listening in between.
-constexpr Micros kStopListeningDelay = kSecond / 2;
 constexpr Micros kStopCheckInterval = 20 * kMillisecond;
-constexpr Micros kStopSlack = 650 * kMillisecond;
 
 // The file of disabled servers is read, and the number of descriptors reported, this often: a
 // server disabled through the other process of an upgrade is disabled here within this time, which
@@ -232,8 +228,7 @@
 }
 
 void Router::stop() {
-  if (stopping_since_) return;
-  stopping_since_ = clock_.now();
+  if (shutdown_) return;
   // A successor listens on the same socket, so listening stops at once, and connections are handed
   // over to it.
   bool has_successor = handover_ && handover_->has_successor();
@@ -248,7 +243,10 @@
           return ClientSide::HandOverResult::NotSent;
       }
     });
-  timeval wait = timeval_of(has_successor ? 0 : kStopListeningDelay);
+  Micros now = clock_.now();
+  shutdown_ = schedule_shutdown(now, core_.longest_deadline(), has_successor);
+  core_.answer_by(shutdown_->answers_due_at);
+  timeval wait = timeval_of(shutdown_->stop_listening_at - now);
   event_add(stop_event_.get(), &wait);
 }
 
@@ -260,9 +258,13 @@
     frontend->drain();
     drained &= frontend->drained();
   }
-  Micros waited = r->clock_.now() - r->stopping_since_;
+  Micros now = r->clock_.now();
+  if (now >= r->shutdown_->answers_due_at) {
+    r->core_.answer_all();
+    r->clients_.finish_all();
+  }
   if ((r->core_.open_requests() == 0 && r->clients_.connections() == 0 && drained) ||
-      waited > r->core_.longest_deadline() + kStopSlack) {
+      now > r->shutdown_->end_at) {
     r->clients_.shut_down();
     r->done_ = true;
     return;
@@ -393,7 +395,7 @@
 // ---- operators ----
 
 bool Router::ready() const {
-  if (taking_over_ || stopping_since_ || clients_.operator_drain()) return false;
+  if (taking_over_ || shutdown_ || clients_.operator_drain()) return false;
   return has_ready_server();
 }
 
@@ -497,7 +499,7 @@
 
 void Router::on_successor_lost() {
   std::fprintf(stderr, "arrowfork: the new process has ended\n");
-  if (!stopping_since_) clients_.suspend_accepting(false);
+  if (!shutdown_) clients_.suspend_accepting(false);
   clients_.set_hand_over(nullptr);
   apply_limits();
 }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "../control/control_server.hpp"
 #include "../control/handover.hpp"
 #include "../core/core.hpp"
+#include "../core/shutdown_schedule.hpp"
 #include "../io/io.hpp"
 #include "../membership/disabled_servers_file.hpp"
 #include "../membership/operator_overrides.hpp"
@@ -148,7 +150,7 @@
   std::vector<Frontend*> frontends_;
   ListPersistence* list_persistence_ = nullptr;
   std::set<std::string> down_servers_;  // listed servers that the last `states` line left as down
-  Micros stopping_since_ = 0;
+  std::optional<ShutdownSchedule> shutdown_;  // set by stop()
   bool done_ = false;
 };
 
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -277,6 +277,71 @@
   EXPECT_EQ(sink.last.kind, Reply::Kind::Failed);
 }
 
+// Guards against lost requests: a request that was accepted late in a shutdown had no reply when
+// the process ended.
+TEST_F(CoreTest, DuringAShutdownOnlyRequestsThatCanStillBeAnsweredAreAccepted) {
+  struct Case {
+    Micros time_until_due, time_left;
+    bool accepted;
+  };
+  const Case cases[] = {
+      {700 * kMillisecond, 500 * kMillisecond, true},   // all of its time
+      {300 * kMillisecond, 500 * kMillisecond, true},   // less, but enough for its objective
+      {149 * kMillisecond, 500 * kMillisecond, false},  // less than the objective of 150 ms
+      {20 * kMillisecond, 20 * kMillisecond, true},     // all of its time, which is short
+      {-1, 20 * kMillisecond, false},
+  };
+  for (const Case& c : cases) {
+    make_core(basic_settings());
+    core_->answer_by(now_ + c.time_until_due);
+    Sink sink;
+    RequestId id = 0;
+    Request request = read();
+    request.time_left = c.time_left;
+    Core::SubmitResult result = core_->submit(std::move(request), sink, *this, id);
+    EXPECT_EQ(result, c.accepted ? Core::SubmitResult::Accepted : Core::SubmitResult::ShuttingDown)
+        << c.time_until_due << " " << c.time_left;
+    EXPECT_EQ(core_->counts().replies_by_class[0].refused, c.accepted ? 0u : 1u);
+    if (!c.accepted) continue;
+    core_->process_events();
+    now_ += std::min(c.time_until_due, c.time_left);
+    core_->process_events();
+    now_ += 15 * kMillisecond;
+    core_->process_events();
+    EXPECT_EQ(sink.replies, 1) << c.time_until_due << " " << c.time_left;
+  }
+}
+
+TEST_F(CoreTest, AShutdownAnswersEveryOpenRequestOnce) {
+  struct Case {
+    const char* idempotency_key;
+    bool unsent;
+    Reply::Kind kind;
+  };
+  for (const Case& c : {Case{nullptr, true, Reply::Kind::Refused},
+                        Case{"k1", true, Reply::Kind::Failed},  // an earlier try may have run
+                        Case{nullptr, false, Reply::Kind::Failed}}) {
+    make_core(with_put(robinseam::Effect::Keyed));
+    sent_.clear();
+    attempts_unsent_ = c.unsent;
+    Sink first, second;
+    submit(c.idempotency_key ? put(c.idempotency_key) : read(), first);
+    submit(c.idempotency_key ? put(c.idempotency_key) : read(), second);
+    core_->answer_all();
+    core_->answer_all();
+    core_->process_events();
+    for (Sink* sink : {&first, &second}) {
+      EXPECT_EQ(sink->replies, 1);
+      EXPECT_EQ(sink->last.kind, c.kind);
+    }
+    EXPECT_EQ(core_->open_requests(), 0u);
+    EXPECT_EQ(core_->unanswered(), 0u);
+    EXPECT_EQ(sent_.size(), 2u);  // no further attempt
+    end_attempt(0, Status::Ok);
+    EXPECT_EQ(first.replies, 1);
+  }
+}
+
 TEST_F(CoreTest, KeyedWriteIsRetriedOnlyIfServersGetItsKey) {
   for (auto [idempotency_key, key_sent, retried] :
        {std::tuple{"k1", true, true}, {"", true, false}, {"k1", false, false}}) {
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -230,7 +230,8 @@
   bool may_cancel = true;
   long long keepalive_us = 15'000'000;
   long long dial_timeout_us = 75'000;
-  std::string binary;       // JSON object of the setting `binary`; empty for none
+  long long deadline_us = 20'000'000;  // of each class
+  std::string binary;                  // JSON object of the setting `binary`; empty for none
   std::string origin_kind;  // enables cache-aside mode, with servers of this kind as the origin
   std::string control, state_dir;
   int memory_mb = 128;
@@ -245,9 +246,13 @@
            R"(,"settings":{"Az":"a","Tenants":[{"Name":"acme","Portion":0.5},{"Name":"zeta","Portion":0.5}],"Balancers":)" +
            std::to_string(routers) +
            R"(,"Classes":[
-             {"Name":"read","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"repeatable","Worth":3.0},
-             {"Name":"put","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"by_key","Group":"all","KeyTtlUs":5000000,"Worth":2.0},
-             {"Name":"pay","ObjectiveUs":5000000,"DeadlineUs":20000000,"Effect":"once","Worth":2.0}],
+             {"Name":"read","ObjectiveUs":5000000,"DeadlineUs":)" +
+           std::to_string(deadline_us) + R"(,"Effect":"repeatable","Worth":3.0},
+             {"Name":"put","ObjectiveUs":5000000,"DeadlineUs":)" +
+           std::to_string(deadline_us) +
+           R"(,"Effect":"by_key","Group":"all","KeyTtlUs":5000000,"Worth":2.0},
+             {"Name":"pay","ObjectiveUs":5000000,"DeadlineUs":)" +
+           std::to_string(deadline_us) + R"(,"Effect":"once","Worth":2.0}],
              "FailureDomains":["a"],"MachineTypes":["std","ledger"],"Domain":{"Mode":")" +
            (origin_kind.empty() ? R"(through","OriginKind":-1)" : R"(aside","OriginKind":1)") +
            R"(},
