A shutdown answers requests with long deadlines before the process is killed

What callers saw: with a class whose deadline is over 3 s, a request that was open when SIGKILL came, at the earliest 3.7 s after SIGTERM, was never answered.

Cause: the steps of a shutdown followed the longest deadline of the settings without bound, while PROTOCOL counts it as "3 s at most".

--- a/tests/net/shutdown_test.cpp
+++ b/tests/net/shutdown_test.cpp
@@ -7,8 +7,6 @@
 namespace arrowfork::test {
 namespace {
 
-constexpr Micros kDeadline = kSecond;
-
 /// Read by the router's thread, moved by the test's.
 struct SharedClock final : TimeSource {
   std::atomic<Micros> at = 1'000'000 * kSecond;
@@ -26,7 +24,7 @@
   void start(std::string_view sent_before) {
     ConfigText config;
     config.hosts = {host_json("s-1", server.address())};
-    config.deadline_us = kDeadline;
+    config.deadline_us = deadline;
     router = std::make_unique<RunningRouter>(config, &clock);
     client = router->client();
     client.write(sent_before);
@@ -45,10 +43,11 @@
   }
   void expect_end() {
     client.close();
-    clock.at = begin + kDeadline + 660 * kMillisecond;
+    clock.at = begin + deadline + 660 * kMillisecond;
     router->wait_for_end();
   }
 
+  Micros deadline = kSecond;
   SharedClock clock;
   Peer server;
   std::unique_ptr<RunningRouter> router;
@@ -101,12 +100,27 @@
   start(commands);
   TestConnection at_server = server.accept();
   at_server.line();  // and it hangs
-  clock.at = begin + kDeadline + 20 * kMillisecond;
+  clock.at = begin + deadline + 20 * kMillisecond;
   for (int k = 0; k < kCommands; ++k)
     ASSERT_EQ(client.line().substr(0, 13), "SERVER_ERROR ") << "command " << k;
   EXPECT_TRUE(client.is_closed());
   expect_end();
 }
 
+// Guards against lost requests: SIGKILL comes 3.7 s after SIGTERM at the earliest, however long the
+// deadlines are, and found requests of long deadlines unanswered.
+TEST_F(Shutdown, RequestsWithLongDeadlinesAreAnsweredBeforeTheProcessIsKilled) {
+  constexpr Micros kEarliestKill = 3'700 * kMillisecond;
+  deadline = 20 * kSecond;
+  start(get("r1", "15000"));
+  TestConnection at_server = server.accept();
+  at_server.line();  // and it hangs
+  clock.at = begin + kEarliestKill - 150 * kMillisecond;
+  EXPECT_EQ(client.line(), "SERVER_ERROR failed\r\n");
+  EXPECT_TRUE(client.is_closed());
+  client.close();
+  router->wait_for_end();
+}
+
 }  // namespace
 }  // namespace arrowfork::test
