--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -11,6 +11,8 @@
 // A client that shuts down its sending side may be gone, so nothing may begin for it 0.1 s later.
 // Attempts in flight have half of that to reach their server, in case the client still reads.
 constexpr Micros kHalfClosedGrace = 50 * kMillisecond;
+// During a shutdown a request is accepted with this much time left, whatever its class's objective.
+constexpr Micros kMaxTimeNeeded = kSecond;
 // Interval at which stopping an attempt after its timeout is tried again.
 constexpr Micros kStopRetryInterval = 20 * kMillisecond;
 // Values of Timer::attempt for timers that are not the timeout of an attempt.
@@ -97,12 +99,13 @@
 }
 
 /// During a shutdown: whether the time until its reply is due is too short for a request, that is
-/// shorter than its own and than the latency objective of its class.
+/// shorter than its own and than the latency objective of its class, however long that is.
 bool Core::is_too_late(Micros now, Micros time_left,
                        const robinseam::ClassSettings& request_class) const {
   if (answers_due_at_ == 0) return false;
-  Micros objective = request_class.latency_objective;
-  Micros needed = objective > 0 ? std::min(time_left, objective) : time_left;
+  Micros needed = std::min(time_left, kMaxTimeNeeded);
+  if (request_class.latency_objective > 0)
+    needed = std::min(needed, request_class.latency_objective);
   return answers_due_at_ - now < needed;
 }
 
