Client connections: flush() in four parts, and three names of the older wording

flush() had grown to seventy lines: writing, freeing what is written and the end of a connection are functions of their own. carrier, lister and tap are attempt_sender, list_source and observer. Nothing else changes; 103 tests of the client side, the router, handover, control and the core pass.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -188,7 +188,7 @@
     if (refused) side_.core_.record_refused(request.class_name);
     Core::SubmitResult taken =
         refused ? Core::SubmitResult::TableFull
-                : side_.core_.submit(std::move(request), slot, side_.carrier_, slot.id);
+                : side_.core_.submit(std::move(request), slot, side_.attempt_sender_, slot.id);
     if (taken != Core::SubmitResult::Accepted)
       side_.answer(slot, codec_->rejection(slot.tag, taken));
   }
@@ -290,13 +290,27 @@
   }
 
   void flush() {
+    if (!write_output()) return;
+    free_written_output();
+    if (out_.empty() && value_truncated_) {
+      finish_after_truncated_value();
+      return;
+    }
+    if (eof_ && !unparsed_input_.empty()) parse_buffered();
+    if (out_.empty() && slots_.empty() && end_if_due()) return;
+    if (!unparsed_input_.empty() && !closed_) parse_buffered();
+    update_reading();
+  }
+
+  /// Writes answers until none is ready or the socket is full; false if that closed the connection.
+  bool write_output() {
     while (!closed_ && (advance(), out_at_ < out_.size())) {
       ssize_t put = ::send(fd_.get(), out_.data() + out_at_, out_.size() - out_at_, MSG_NOSIGNAL);
       if (put < 0) {
         if (errno == EINTR) continue;
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
           side_.close(*this);
-          return;
+          return false;
         }
         if (!stalled_since_) stalled_since_ = side_.clock_.now();
         event_add(write_.get(), nullptr);
@@ -307,6 +321,10 @@
       since_ = side_.clock_.now();
       stalled_since_ = 0;
     }
+    return true;
+  }
+
+  void free_written_output() {
     if (out_at_ == out_.size()) {
       if (out_.capacity() > kMaxIdleOutputBytes) std::string().swap(out_);
       out_.clear();
@@ -315,28 +333,23 @@
       out_.erase(0, out_at_);
       out_at_ = 0;
     }
-    if (out_.empty() && value_truncated_) {
-      finish_after_truncated_value();
-      return;
+  }
+
+  /// Called when everything is answered and written: ends the connection if it is to take nothing
+  /// more. False if it goes on.
+  bool end_if_due() {
+    if (eof_ || broken_ || over_limit_) {
+      finish();
+      return true;
     }
-    if (eof_ && !unparsed_input_.empty()) parse_buffered();
-    if (out_.empty() && slots_.empty()) {
-      if (eof_ || broken_ || over_limit_) {
-        finish();
-        return;
-      }
-      if (side_.closing() && between_requests()) {
-        hand_over_or_close();
-        return;
-      }
-      bool all_parsed = unparsed_input_.empty() || waits_for_bulk_;
-      if (side_.phase_ == ClientSide::Phase::Finishing && all_parsed) {
-        finish();  // half a command
-        return;
-      }
+    if (side_.closing() && between_requests()) {
+      hand_over_or_close();
+      return true;
     }
-    if (!unparsed_input_.empty() && !closed_) parse_buffered();
-    update_reading();
+    bool all_parsed = unparsed_input_.empty() || waits_for_bulk_;
+    if (side_.phase_ != ClientSide::Phase::Finishing || !all_parsed) return false;
+    finish();  // half a command
+    return true;
   }
 
   /// Hands the connection over or closes it, between two requests.
@@ -476,11 +489,11 @@
 }
 
 ClientSide::ClientSide(event_base* base, const TimeSource& clock, Core& core,
-                       AttemptSender& carrier, Limits limits)
+                       AttemptSender& attempt_sender, Limits limits)
     : base_(base),
       clock_(clock),
       core_(core),
-      carrier_(carrier),
+      attempt_sender_(attempt_sender),
       limits_(limits),
       scratch_(std::make_unique<char[]>(kReadBufferBytes)) {
   disconnect_check_event_.reset(event_new(base, -1, 0, on_disconnect_check, this));
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -44,8 +44,8 @@
     std::size_t bulk_bytes = kMaxLargeValue;  ///< of values over kMaxValue that clients write
   };
 
-  /// Passes requests to `core`, which sends their attempts through `carrier`.
-  ClientSide(event_base* base, const TimeSource& clock, Core& core, AttemptSender& carrier,
+  /// Passes requests to `core`, which sends their attempts through `attempt_sender`.
+  ClientSide(event_base* base, const TimeSource& clock, Core& core, AttemptSender& attempt_sender,
              Limits limits);
   ~ClientSide();
 
@@ -131,7 +131,7 @@
   event_base* base_;
   const TimeSource& clock_;
   Core& core_;
-  AttemptSender& carrier_;
+  AttemptSender& attempt_sender_;
   Limits limits_;
   BinaryRules rules_;
   StatsProvider stats_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -84,8 +84,9 @@
 }
 
 /// Turns the exception of the module's check of the settings into a ConfigError.
-Core make_core(const Config& c, const TimeSource& clock, ListSource& lister) try {
-  return Core(c.settings, c.seed, clock, lister, max_open(c), c.memory_bytes / kMemoryPerIdBytes);
+Core make_core(const Config& c, const TimeSource& clock, ListSource& list_source) try {
+  return Core(c.settings, c.seed, clock, list_source, max_open(c),
+              c.memory_bytes / kMemoryPerIdBytes);
 } catch (const std::invalid_argument& e) {
   throw ConfigError(std::string("settings: ") + e.what());
 }
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -286,20 +286,20 @@
 class RunningRouter {
  public:
   using Attach = std::function<std::unique_ptr<Frontend>(event_base*, const TimeSource&, Router&)>;
-  /// `clock` and `tap` must outlive it. `attach` creates a frontend.
+  /// `clock` and `observer` must outlive it. `attach` creates a frontend.
   explicit RunningRouter(const ConfigText& config, const TimeSource* clock = nullptr,
-                         BalancerObserver* tap = nullptr, Attach attach = nullptr) {
+                         BalancerObserver* observer = nullptr, Attach attach = nullptr) {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) ADD_FAILURE() << "pipe";
     command_pipe_ = Fd(ends[1]);
     std::promise<std::uint16_t> port;
     auto known = port.get_future();
-    thread_ = std::thread([this, config, in = ends[0], &port, clock, tap, attach] {
+    thread_ = std::thread([this, config, in = ends[0], &port, clock, observer, attach] {
       Fd command_end(in);
       EventBasePtr base(event_base_new());
       Clock own;
       Router router(base.get(), parse_config(config.text()), clock ? *clock : own);
-      router.core().set_observer(tap);
+      router.core().set_observer(observer);
       std::unique_ptr<Frontend> frontend;
       if (attach) frontend = attach(base.get(), clock ? *clock : own, router);
       if (frontend) router.add_frontend(*frontend);
