The last step of a shutdown answers all commands that were read, not only the first ones

What callers saw: where a process is held up at the end of its shutdown, commands that it had read behind 32 others on a connection were never answered.

Cause: when answers are due and the end has come in one step, ClientSide::shut_down() wrote each connection's output once; the answers to commands that wait for those before them come up only after that.

Change: ClientSide::shut_down() flushes until nothing is pending before it shuts the sockets down.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -634,6 +634,7 @@
 }
 
 void ClientSide::shut_down() {
+  flush();  // and the answers to commands that were read and wait for those before them
   for (std::size_t k = connections_.size(); k-- > 0;)
     if (k < connections_.size()) connections_[k]->shut_down();
 }
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -219,6 +219,27 @@
   reader.expect_whole();
 }
 
+// Guards against lost requests: a process that is held up takes the last two steps of its shutdown
+// at once, and then answered only the first commands that it had read from a connection.
+TEST(Endings, AllThatWasReadIsAnsweredInTheLastStep) {
+  constexpr int kCommands = 100;
+  Clients clients;
+  TestConnection link = clients.connect();
+  std::string many;
+  for (int k = 0; k < kCommands; ++k) many += get("m" + std::to_string(k));
+  link.write(many);
+  clients.run_until([&] { return clients.sent.size() == 32; });
+  clients.side.drain();
+  clients.clock.at += kSecond;
+  clients.core.answer_by(clients.clock.at);
+  clients.core.answer_all();
+  clients.side.finish_all();
+  clients.side.shut_down();
+  for (int k = 0; k < kCommands; ++k)
+    ASSERT_EQ(link.line().substr(0, 13), "SERVER_ERROR ") << "command " << k;
+  EXPECT_TRUE(link.is_closed());
+}
+
 // ---- a client that has gone ----
 
 // The client sent more than is read at once, and left: its close is behind bytes that are not read.
