Tests: the writes that wait for memory go to a server that keeps its connection open

The test was wrong: after each of three writes it closed the server's end of the connection, and meant the next write to come by a new one. Where the router has begun that write before it sees the close, the attempt ends as a reset, the single server is not tried again, and the test waits in vain.

Replaced by one as strict: the same values, order and answers, over one connection that stays open; that the others wait is asked of the listener as before, and of the connection as well.

--- a/tests/operations/large_values_test.cpp
+++ b/tests/operations/large_values_test.cpp
@@ -116,12 +116,13 @@
   std::vector<std::thread> writers;
   for (std::size_t k = 0; k < 3; ++k)
     writers.emplace_back([&, k] { clients[k].write(put("w" + std::to_string(k), value)); });
+  TestConnection at_server = server.accept();
   for (int k = 0; k < 3; ++k) {
-    TestConnection at_server = server.accept();
     std::string id = id_of(at_server.line());
     EXPECT_TRUE(at_server.bytes(value.size()) == value);
     EXPECT_EQ(at_server.line(), "\r\n");
     EXPECT_TRUE(server.no_connection_within(50));  // the others wait
+    EXPECT_TRUE(at_server.stays_silent(0));
     at_server.write("HD O" + id + " c1\r\n");
     EXPECT_EQ(clients[static_cast<std::size_t>(id[1] - '0')].line(), "HD O" + id + " c1\r\n");
   }
