--- /dev/null
+++ b/tests/process/clients_test.cpp
@@ -0,0 +1,184 @@
+// Clients that leave, and clients that take more than their part, as the router's process sees
+// them.
+#include <algorithm>
+
+#include "stand_ins.hpp"
+
+namespace arrowfork::process_test {
+namespace {
+
+// STANDING: an attempt that begins more than 0.1 s after its client's close breaks a rule; PROTOCOL
+// adds 50 ms on sockets.
+constexpr Micros kMaxBeginAfterClose = 150 * kMillisecond;
+constexpr double kMinServedShare = 0.9;
+
+/// Cache servers with the same script.
+struct Fleet {
+  Fleet(std::size_t count, const ScriptedCacheServer::Script& script) {
+    for (std::size_t k = 0; k < count; ++k) {
+      servers.push_back(std::make_unique<ScriptedCacheServer>(script));
+      hosts.push_back(test::host_json("s-" + std::to_string(k), servers.back()->address()));
+    }
+  }
+  std::vector<ReceivedCommand> received() const {
+    std::vector<ReceivedCommand> all;
+    for (const auto& server : servers) {
+      auto part = server->received();
+      all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+  }
+  std::vector<std::unique_ptr<ScriptedCacheServer>> servers;
+  std::vector<std::string> hosts;
+};
+
+struct LeavingCase {
+  const char* name;
+  std::size_t commands;
+  bool writes;
+  Micros server_delay;
+};
+void PrintTo(const LeavingCase& one, std::ostream* out) { *out << one.name; }
+
+class LeavingClient : public testing::TestWithParam<LeavingCase> {};
+
+TEST_P(LeavingClient, NothingIsBegunForItLater) {
+  constexpr int kClients = 12;
+  const LeavingCase& load = GetParam();
+  Fleet fleet(6, [&](const ReceivedCommand& c) { return serve(c, load.server_delay); });
+  RouterOptions options;
+  options.hosts = fleet.hosts;
+  RouterUnderTest router(options);
+  int late = 0, begun = 0;
+  Micros latest = 0;
+  for (int k = 0; k < kClients; ++k) {
+    TestConnection client = TestConnection::to(router.port());
+    std::string input;
+    for (std::size_t n = 0; n < load.commands; ++n)
+      input += load.writes ? write_command(next_id(), 580, "v", next_id())
+                           : read_command(next_id(), 580, "k" + std::to_string(n));
+    ::send(client.fd(), input.data(), input.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    sleep_for(50 * kMillisecond);
+    std::size_t before = fleet.received().size();
+    Micros closed_at = now();
+    client.close();
+    sleep_for(600 * kMillisecond);
+    std::vector<ReceivedCommand> all = fleet.received();
+    begun += static_cast<int>(all.size() - before);
+    for (const ReceivedCommand& command : all) {
+      if (command.complete_at <= closed_at + kMaxBeginAfterClose) continue;
+      ++late;
+      latest = std::max(latest, command.complete_at - closed_at);
+    }
+  }
+  std::printf("%d attempts behind the close, %d of them late, the latest %.0f ms\n", begun, late,
+              static_cast<double>(latest) / kMillisecond);
+  EXPECT_EQ(late, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads, LeavingClient,
+    testing::Values(LeavingCase{"ManyReads", 4'000, false, 300 * kMillisecond},
+                    LeavingCase{"ManyReadsOfFastServers", 4'000, false, kMillisecond},
+                    LeavingCase{"SomeReads", 200, false, 200 * kMillisecond},
+                    LeavingCase{"ManyKeyedWrites", 4'000, true, 300 * kMillisecond}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(LeavingClient, ItsIdIsNotRunAgainWhenItComesTwiceMore) {
+  Fleet fleet(3, [](const ReceivedCommand& c) { return serve(c, 300 * kMillisecond); });
+  RouterOptions options;
+  options.hosts = fleet.hosts;
+  RouterUnderTest router(options);
+  std::string id = next_id(), key = next_id();
+  std::string command = write_command(id, 900, "v", key);
+  {
+    TestConnection client = TestConnection::to(router.port());
+    client.write(command);
+    wait_until([&] { return !fleet.received().empty(); });
+  }
+  for (Micros pause : {50 * kMillisecond, 900 * kMillisecond}) {
+    sleep_for(pause);
+    TestConnection again = TestConnection::to(router.port());
+    again.write(command);
+    EXPECT_EQ(again.line(), "CLIENT_ERROR id in use\r\n");
+  }
+  EXPECT_EQ(fleet.received().size(), 1u);
+}
+
+struct FloodCase {
+  const char* name;
+  std::function<std::string()> command;
+  std::size_t connections = 1;
+};
+void PrintTo(const FloodCase& one, std::ostream* out) { *out << one.name; }
+
+class Flood : public testing::TestWithParam<FloodCase> {};
+
+TEST_P(Flood, OtherClientsAreServedBesideIt) {
+  constexpr Micros kFloodTime = 6 * kSecond;
+  constexpr long kMemoryMb = 32;
+  Fleet fleet(6, [](const ReceivedCommand& c) { return serve(c); });
+  RouterOptions options;
+  options.hosts = fleet.hosts;
+  options.memory_mb = kMemoryMb;
+  RouterUnderTest router(options);
+  SteadyClient steady(router.port());
+  wait_until([&] { return steady.counts().served > 20; });
+  SteadyClient::Counts before = steady.counts();
+  {
+    Micros end = now() + kFloodTime;
+    std::vector<std::thread> flooders;
+    for (std::size_t k = 0; k < GetParam().connections; ++k)
+      flooders.emplace_back([&] {
+        TestConnection client = TestConnection::to(router.port());
+        char answers[65536];
+        while (now() < end) {
+          std::string input;
+          for (int n = 0; n < 50; ++n) input += GetParam().command();
+          ::send(client.fd(), input.data(), input.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+          ssize_t got = ::recv(client.fd(), answers, sizeof answers, MSG_DONTWAIT);
+          if (got == 0) client = TestConnection::to(router.port());
+        }
+      });
+    for (std::thread& flooder : flooders) flooder.join();
+  }
+  steady.stop();
+  SteadyClient::Counts after = steady.counts();
+  int served = after.served - before.served, requests = after.requests() - before.requests();
+  std::printf("served %d of %d, refused %d, failed %d, closed %d, peak %.1f MB\n", served, requests,
+              after.refused, after.failed, after.closed,
+              static_cast<double>(router.peak_memory_kib()) / 1024);
+  EXPECT_GE(served, kMinServedShare * requests);
+  EXPECT_EQ(after.closed, 0);
+  EXPECT_FALSE(router.has_ended());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Inputs, Flood,
+    testing::Values(FloodCase{"ReadsWithLittleTime", [] { return read_command(next_id(), 1); }},
+                    FloodCase{"ReadsWithLittleTimeOnManyConnections",
+                              [] { return read_command(next_id(), 1); }, 8},
+                    FloodCase{"ReadsWithNewKeys",
+                              [] {
+                                std::string id = next_id();
+                                return read_command(id, 480, "k" + id);
+                              }},
+                    FloodCase{"KeyedWritesWithNewKeys",
+                              [] { return write_command(next_id(), 480, "v", next_id()); }},
+                    FloodCase{"ReadsOfNewTenants",
+                              [] {
+                                std::string id = next_id();
+                                return "mg key v O" + id + " Pc=price-lookup,t=t" + id +
+                                       ",d=480\r\n";
+                              }},
+                    FloodCase{"ReadsOfUnknownClasses",
+                              [] {
+                                std::string id = next_id();
+                                return "mg key v O" + id + " Pc=c" + id + ",t=acme,d=480\r\n";
+                              }},
+                    FloodCase{"EmptyLines", [] { return std::string("\r\n"); }},
+                    FloodCase{"Probes", [] { return std::string("mn\r\n"); }}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace arrowfork::process_test
