Client connections have a file of their own, apart from the set of them

No change of behaviour: ClientConnection moved from client_side.cpp to client_connection, with its constants; two comments on shared constants were divided.

--- /dev/null
+++ b/src/net/client_connection.cpp
@@ -0,0 +1,413 @@
+#include "client_connection.hpp"
+
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace arrowfork {
+namespace {
+
+// A connection with this many unanswered commands is not read.
+constexpr std::size_t kMaxPipelinedCommands = 32;
+// Bytes of one connection's commands and answers, including answers that wait for a slow reader;
+// beyond, it is not read. Any single command and its answer fit.
+constexpr std::size_t kMaxHeldBytes = 2 * (kMaxValue + kMaxLine);
+// Output buffers larger than this are freed when empty.
+constexpr std::size_t kMaxIdleOutputBytes = 32u << 10;
+// A command's line must be complete this long after its first byte, and a connection's first line
+// this long after the connect: a client may take 2 s for a command's head, and DAYS requires an
+// error or a close within 3 s for bad clients, including one sweep interval.
+constexpr Micros kCommandTimeout = 2'500 * kMillisecond;
+// A value may arrive slowly, but with no gap longer than the first time and within the second.
+constexpr Micros kValueStallTimeout = 2'500 * kMillisecond;
+constexpr Micros kValueTimeout = 60 * kSecond;
+// An idle connection can be closed without loss, and clients that keep theirs forever would fill
+// the table. DAYS allows closing from 2 s on. Connection pools of clients reuse theirs well within
+// this time; closing those would cost reconnects and requests that cross the close.
+constexpr Micros kIdleTimeout = 10 * kSecond;
+// After sending FIN the connection is read until the client's FIN, at most this long and this many
+// bytes: closing with unread bytes would send a reset, which may destroy the last answer in flight.
+constexpr Micros kLingerTimeout = kSecond / 2;
+// While written bytes are unacknowledged, a reset would destroy an answer: then the limits are
+// kWriteStallTimeout and the second byte count.
+constexpr std::size_t kLingerBytes = 1u << 20, kMaxLingerBytes = 16u << 20;
+// Operator drain, once the load balancer sends no new connections: connections are closed after
+// their answer or when idle for the first time; after the second every connection between requests
+// is closed, because none may remain 4 s after the call.
+constexpr Micros kDrainIdleTimeout = kSecond / 2;
+constexpr Micros kDrainCloseAll = 2 * kSecond;
+
+}  // namespace
+
+ClientConnection::ClientConnection(ClientSide& side, Fd fd, bool over_limit)
+    : side_(side), fd_(std::move(fd)), over_limit_(over_limit), since_(side.clock_.now()) {
+  read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
+  write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
+  event_add(read_.get(), nullptr);
+}
+
+ClientConnection::~ClientConnection() {
+  release_bytes(held_bytes_);
+  side_.bulk_bytes_ -= bulk_;
+}
+
+void ClientConnection::on_event(evutil_socket_t, short what, void* self) {
+  auto* c = static_cast<ClientConnection*>(self);
+  if (c->closed_) return;
+  if (what & EV_WRITE) c->side_.mark_dirty(*c);
+  if (what & EV_READ) c->read();
+}
+
+bool ClientConnection::still_idle_after_read() {
+  if (reading_ && !eof_ && !lingering_) read();
+  return !closed_ && idle();
+}
+
+bool ClientConnection::unacknowledged() const {
+  int bytes = 0;
+  return ::ioctl(fd_.get(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+void ClientConnection::check_for_disconnect() {
+  if (reading_ || closed_ || eof_ || disconnect_seen_ || lingering_) return;
+  pollfd p{fd_.get(), POLLRDHUP, 0};
+  if (::poll(&p, 1, 0) <= 0) return;
+  if (p.revents & (POLLERR | POLLHUP)) {
+    side_.close(*this);
+    return;
+  }
+  if (!(p.revents & POLLRDHUP)) return;
+  disconnect_seen_ = true;
+  notify_client_left();
+}
+
+void ClientConnection::read() {
+  ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kReadBufferBytes, 0);
+  if (got < 0) {
+    if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
+    side_.close(*this);  // reset: the client is gone
+    return;
+  }
+  if (lingering_) {  // input after our FIN is dropped
+    lingered_ += static_cast<std::size_t>(got);
+    if (got == 0 || (lingered_ > kLingerBytes && !unacknowledged()) || lingered_ > kMaxLingerBytes)
+      side_.close(*this);
+    return;
+  }
+  if (got == 0) {
+    end_of_input();
+    return;
+  }
+  received_any_ = true;
+  last_read_at_ = side_.clock_.now();
+  if (!in_command()) since_ = last_read_at_;
+  std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
+  if (unparsed_input_.empty()) {
+    parse(in);
+    unparsed_input_.assign(in);
+  } else {
+    unparsed_input_.append(in);
+    parse_buffered();
+  }
+  update_reading();
+}
+
+void ClientConnection::choose_codec(unsigned char first) {
+  if (side_.rules_.clients && first == binary::kRequestMagic) {
+    ++side_.counts_.binary;
+    codec_ = std::make_unique<BinaryClientCodec>(side_.rules_, side_.stats_);
+  } else {
+    ++side_.counts_.meta;
+    codec_ =
+        std::make_unique<MetaClientCodec>(side_.core_, side_.rules_.any(), side_.operator_drain_);
+  }
+}
+
+void ClientConnection::parse(std::string_view& in) {
+  if (!codec_ && !in.empty()) choose_codec(static_cast<unsigned char>(in.front()));
+  ClientCodec::ParsedCommand parsed;
+  while (!broken_ && !closed_ && !in.empty() && may_parse()) {
+    auto got = codec_->parse(in, parsed);
+    if (got == ClientCodec::ParseResult::Incomplete) break;
+    since_ = side_.clock_.now();  // the next command begins
+    ClientSlot& slot = add_slot();
+    slot.bulk = std::exchange(bulk_, 0);
+    slot.tag = parsed.tag;
+    if (got == ClientCodec::ParseResult::Request) {
+      submit(slot, std::move(parsed.request));
+      continue;
+    }
+    broken_ = got == ClientCodec::ParseResult::FinalAnswer;
+    side_.answer(slot, std::move(parsed.answer));
+  }
+  if (broken_) in = {};
+}
+
+void ClientConnection::submit(ClientSlot& slot, Request&& request) {
+  slot.bytes = request.line_before_deadline.size() + request.line_after_deadline.size() +
+               (request.value && slot.bulk == 0 ? request.value->size() : 0);
+  if (request.line_before_deadline.empty()) slot.bytes += binary::kHeader + request.key.size();
+  reserve_bytes(slot.bytes);
+  bool refused = over_limit_ || eof_ || disconnect_seen_;  // nothing new for a client that left
+  if (refused) side_.core_.record_refused(request.class_name);
+  Core::SubmitResult taken =
+      refused ? Core::SubmitResult::TableFull
+              : side_.core_.submit(std::move(request), slot, side_.attempt_sender_, slot.id);
+  if (taken != Core::SubmitResult::Accepted) side_.answer(slot, codec_->rejection(slot.tag, taken));
+}
+
+bool ClientConnection::may_parse() const {
+  if (waits_for_bulk_ || value_truncated_) return false;
+  if (slots_.empty() && out_.empty()) return true;
+  return slots_.size() < kMaxPipelinedCommands && held_bytes_ < kMaxHeldBytes &&
+         side_.held_bytes_ < side_.limits_.held_bytes;
+}
+
+void ClientConnection::reserve_bytes(std::size_t bytes) {
+  held_bytes_ += bytes;
+  side_.held_bytes_ += bytes;
+}
+
+void ClientConnection::release_bytes(std::size_t bytes) {
+  held_bytes_ -= bytes;
+  side_.held_bytes_ -= bytes;
+}
+
+void ClientConnection::parse_buffered() {
+  std::string_view in = unparsed_input_;
+  parse(in);
+  unparsed_input_.erase(0, unparsed_input_.size() - in.size());
+}
+
+void ClientConnection::reserve_bulk() {
+  std::size_t need = codec_ ? codec_->size_of_value_in_progress() : 0;
+  waits_for_bulk_ = false;
+  if (need <= kMaxValue + 2 || bulk_ > 0) return;
+  if (side_.bulk_bytes_ > 0 && side_.bulk_bytes_ + need > side_.limits_.bulk_bytes) {
+    waits_for_bulk_ = true;
+    last_read_at_ = since_ = side_.clock_.now();
+    return;
+  }
+  bulk_ = need;
+  side_.bulk_bytes_ += need;
+}
+
+void ClientConnection::end_of_input() {
+  eof_ = true;
+  event_del(read_.get());
+  notify_client_left();
+  if (!waits_for_bulk_) parse_buffered();
+  if (waits_for_bulk_) unparsed_input_.clear();
+  if (slots_.empty() && out_.empty() && unparsed_input_.empty()) side_.close(*this);
+}
+
+void ClientConnection::notify_client_left() {
+  for (ClientSlot& slot : slots_)
+    if (slot.id && !slot.done) side_.core_.on_client_half_closed(slot.id);
+}
+
+ClientSlot& ClientConnection::add_slot() {
+  slots_.emplace_back();
+  slots_.back().connection = this;
+  return slots_.back();
+}
+
+void ClientConnection::advance() {
+  while (!slots_.empty() && slots_.front().done && !value_truncated_) {
+    ClientSlot& slot = slots_.front();
+    bool unbegun = !slot.text.empty();
+    if (unbegun && slot.pipe && slot.pipe->failed()) replace_value_by_failure(slot);
+    out_ += std::exchange(slot.text, {});
+    if (ValuePipe* pipe = slot.pipe.get()) {
+      while (out_.size() - out_at_ < pipe->window()) {
+        std::string bytes = pipe->take();
+        if (bytes.empty()) break;
+        reserve_bytes(bytes.size());
+        out_ += bytes;
+      }
+      if (!pipe->finished()) {
+        value_truncated_ = pipe->failed();
+        return;
+      }
+      std::string_view trailer = codec_->value_trailer();
+      reserve_bytes(trailer.size());
+      out_ += trailer;
+    }
+    slots_.pop_front();
+  }
+}
+
+void ClientConnection::replace_value_by_failure(ClientSlot& slot) {
+  slot.release_pipe();
+  release_bytes(slot.text.size());
+  slot.text = codec_->failure(slot.tag);
+  reserve_bytes(slot.text.size());
+}
+
+void ClientConnection::flush() {
+  if (!write_output()) return;
+  free_written_output();
+  if (out_.empty() && value_truncated_) {
+    finish_after_truncated_value();
+    return;
+  }
+  if (eof_ && !unparsed_input_.empty()) parse_buffered();
+  if (out_.empty() && slots_.empty() && end_if_due()) return;
+  if (!unparsed_input_.empty() && !closed_) parse_buffered();
+  update_reading();
+}
+
+bool ClientConnection::write_output() {
+  while (!closed_ && (advance(), out_at_ < out_.size())) {
+    ssize_t put = ::send(fd_.get(), out_.data() + out_at_, out_.size() - out_at_, MSG_NOSIGNAL);
+    if (put < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        side_.close(*this);
+        return false;
+      }
+      if (!stalled_since_) stalled_since_ = side_.clock_.now();
+      event_add(write_.get(), nullptr);
+      break;
+    }
+    out_at_ += static_cast<std::size_t>(put);
+    release_bytes(static_cast<std::size_t>(put));
+    since_ = side_.clock_.now();
+    stalled_since_ = 0;
+  }
+  return true;
+}
+
+void ClientConnection::free_written_output() {
+  if (out_at_ == out_.size()) {
+    if (out_.capacity() > kMaxIdleOutputBytes) std::string().swap(out_);
+    out_.clear();
+    out_at_ = 0;
+  } else if (out_at_ > kMaxIdleOutputBytes) {
+    out_.erase(0, out_at_);
+    out_at_ = 0;
+  }
+}
+
+bool ClientConnection::end_if_due() {
+  if (eof_ || broken_ || over_limit_) {
+    finish();
+    return true;
+  }
+  if (side_.closing() && between_requests()) {
+    hand_over_or_close();
+    return true;
+  }
+  bool all_parsed = unparsed_input_.empty() || waits_for_bulk_;
+  if (side_.phase_ != ClientSide::Phase::Finishing || !all_parsed) return false;
+  finish();  // half a command
+  return true;
+}
+
+void ClientConnection::hand_over_or_close() {
+  if (lingering_) return;
+  ClientSide::HandOverResult result = side_.shutting_down() && side_.hand_over_
+                                          ? side_.hand_over_(fd_.get())
+                                          : ClientSide::HandOverResult::NotSent;
+  if (result == ClientSide::HandOverResult::Sent) side_.close(*this);
+  if (result == ClientSide::HandOverResult::NotSent && still_idle_after_read()) finish();
+}
+
+void ClientConnection::finish_after_truncated_value() {
+  slots_.clear();
+  finish();
+}
+
+void ClientConnection::finish() {
+  if (lingering_) return;
+  if (eof_) {
+    side_.close(*this);
+    return;
+  }
+  lingering_ = true;
+  since_ = side_.clock_.now();
+  ::shutdown(fd_.get(), SHUT_WR);
+  event_add(read_.get(), nullptr);
+}
+
+void ClientConnection::update_reading() {
+  if (closed_ || eof_ || lingering_) return;
+  reserve_bulk();
+  bool want = unparsed_input_.empty() && !broken_ && may_parse();
+  // In a shutdown, commands under way are answered and no more are read: later input is for the
+  // next process, or crosses our close.
+  if (side_.shutting_down() && !slots_.empty() && between_requests()) want = false;
+  if (side_.phase_ == ClientSide::Phase::Finishing) want = false;
+  if (want == reading_) return;
+  reading_ = want;
+  want ? event_add(read_.get(), nullptr) : event_del(read_.get());
+  if (!want) side_.schedule_disconnect_check();
+}
+
+void ClientConnection::sweep(Micros now) {
+  if (!unparsed_input_.empty() && !waits_for_bulk_) parse_buffered();  // limits may have freed up
+  update_reading();
+  if (closed_) return;
+  if (side_.closing() && has_no_work() && between_requests() && !lingering_ &&
+      !side_.shutting_down() &&
+      (now - since_ > kDrainIdleTimeout || now - side_.operator_drain_since_ > kDrainCloseAll)) {
+    if (still_idle_after_read()) finish();
+    return;
+  }
+  bool in_value = codec_ && codec_->size_of_value_in_progress() > 0;
+  Micros timeout = lingering_                       ? kLingerTimeout
+                   : has_no_work() && received_any_ ? kIdleTimeout
+                   : !slots_.empty()                ? Micros{0}
+                   : in_value                       ? kValueTimeout
+                                                    : kCommandTimeout;
+  if (stalled_since_ && now - stalled_since_ > kWriteStallTimeout) {
+    side_.close(*this);
+    return;
+  }
+  bool expired = (timeout > 0 && out_.empty() && now - since_ > timeout) ||
+                 (in_value && slots_.empty() && now - last_read_at_ > kValueStallTimeout);
+  if (!expired) return;
+  if (lingering_) {
+    if (now - since_ > kWriteStallTimeout || !unacknowledged()) side_.close(*this);
+  } else if (!has_no_work()) {
+    finish();  // half a command
+  } else if (still_idle_after_read()) {
+    finish();
+  }
+}
+
+void ClientConnection::shut_down() {
+  flush();
+  if (closed_) return;
+  ::shutdown(fd_.get(), SHUT_WR);
+  for (std::size_t dropped = 0; dropped < kLingerBytes;) {
+    ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kReadBufferBytes, 0);
+    if (got <= 0) break;
+    dropped += static_cast<std::size_t>(got);
+  }
+}
+
+void ClientSlot::on_reply(const Request& request, Reply&& reply) {
+  std::shared_ptr<ValuePipe> pipe = reply.pipe;
+  connection->side_.answer(*this, connection->codec_->reply(tag, request, std::move(reply)),
+                           std::move(pipe));
+}
+
+ClientSlot::~ClientSlot() {
+  ClientSide& side = connection->side_;
+  if (id && !done) side.core_.on_client_gone(id);
+  side.bulk_bytes_ -= bulk;
+  release_pipe();
+}
+
+void ClientSlot::release_pipe() {
+  if (!pipe) return;
+  --connection->side_.streaming_values_;
+  pipe->abandon();
+  pipe.reset();
+}
+
+}  // namespace arrowfork
