The log tells which attempt follows which and why, late writes, refusals and closes by reason

New: a line for each further attempt (id, class, server, how the one before ended, time since the first) and for bytes written over 0.1 s after they were queued, both rate-limited; STAT and the figures line have refusals before the balancer by reason, client connections closed by reason, and peak memory.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -61,6 +61,13 @@
 
 Core::SubmitResult Core::submit(Request&& request, ReplySink& sink, AttemptSender& sender,
                                 RequestId& id) {
+  SubmitResult result = admit(std::move(request), sink, sender, id);
+  ++counts_.submitted[static_cast<std::size_t>(result)];
+  return result;
+}
+
+Core::SubmitResult Core::admit(Request&& request, ReplySink& sink, AttemptSender& sender,
+                               RequestId& id) {
   const robinseam::ClassSettings* request_class = find_class(request.class_name);
   if (!request_class || (request_class->effect == robinseam::Effect::Keyed && !request.write))
     return SubmitResult::InvalidClass;
@@ -313,6 +320,7 @@
                          AttemptResult* result, bool paused) {
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
   a.in_flight = false;
+  a.end = status;
   open.last_was_miss = status == Status::Miss;
   if (status == Status::Rejected || status == Status::ConnectFailed || status == Status::NotSent ||
       status == Status::Miss || status == Status::ConnectionLimit)
@@ -426,6 +434,7 @@
   Open& open = it->second;
   int attempt = static_cast<int>(open.attempts.size());
   Micros now = clock_.now();
+  if (attempt > 0) report_further_attempt(open, a.server);
   open.attempts.push_back({a.server, now});
   // The request may have been answered without the balancer knowing it yet.
   if (open.answered || open.half_closed || now >= open.deadline) {
@@ -441,6 +450,14 @@
   open.sender->send(a.server, a.id, attempt, open.request, timeout);
 }
 
+void Core::report_further_attempt(const Open& open, const std::string& server) const {
+  if (!request_observer_) return;
+  const Attempt& previous = open.attempts.back();
+  request_observer_->on_further_attempt({open.request, static_cast<int>(open.attempts.size()),
+                                         server, previous.server, previous.end,
+                                         clock_.now() - open.attempts.front().sent});
+}
+
 void Core::apply(const robinseam::Refuse& a) {
   auto it = open_.find(a.id);
   if (it == open_.end() || it->second.answered) return;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -67,6 +67,25 @@
   ~ListSource() = default;
 };
 
+/// An attempt that follows another one of the same request.
+struct FurtherAttempt {
+  const Request& request;
+  int number;  ///< of the attempt, from 1: the first one has 0
+  const std::string& server;
+  const std::string& previous_server;
+  std::optional<Status> previous_end;  ///< none while it is in flight
+  Micros since_first;                  ///< from the first attempt, in microseconds
+};
+
+/// Is told why the core does what it does with single requests. For logs.
+class RequestObserver {
+ public:
+  virtual void on_further_attempt(const FurtherAttempt& attempt) = 0;
+
+ protected:
+  ~RequestObserver() = default;
+};
+
 /// Observes each call of the balancer with the actions it returned, in order. For tests and traces.
 class BalancerObserver {
  public:
@@ -98,6 +117,7 @@
     TableFull,     ///< the table is full; refused without asking the balancer
     ShuttingDown,  ///< too late to be answered before the process ends; refused in the same way
   };
+  static constexpr std::size_t kSubmitResultCount = 5;
   /// Accepts a request and sets `id`. `sink` and `sender` are called until the request has ended,
   /// `sink` not after on_client_gone(). The balancer sees the request in the next process_events().
   SubmitResult submit(Request&& request, ReplySink& sink, AttemptSender& sender, RequestId& id);
@@ -139,6 +159,7 @@
   struct Counts {
     std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0, hits = 0, misses = 0;
     std::array<std::uint64_t, robinseam::kStatusCount> outcomes{};  ///< by Status
+    std::array<std::uint64_t, kSubmitResultCount> submitted{};      ///< by SubmitResult
     /// By class, in the order of the settings. Requests whose client is gone count in none.
     struct Replies {
       std::uint64_t served = 0, refused = 0, failed = 0;
@@ -154,6 +175,7 @@
   }
   robinseam::Balancer::Stats module_stats() const { return balancer_.stats(); }
   void set_observer(BalancerObserver* observer) { observer_ = observer; }
+  void set_request_observer(RequestObserver* observer) { request_observer_ = observer; }
 
  private:
   static constexpr std::size_t kMaxCountedServers = 4096;  // about 150 bytes each
@@ -163,6 +185,7 @@
     bool in_flight = true;        // its outcome is not queued for the balancer yet
     bool sender_owes_end = true;  // its sender has not reported its end yet
     bool may_have_run = true;     // false once it is known not to have run
+    std::optional<Status> end{};  // how it ended
   };
   struct Open {
     ReplySink* sink = nullptr;  // null once the client is gone or has its reply
@@ -208,6 +231,8 @@
     bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
 
+  SubmitResult admit(Request&& request, ReplySink& sink, AttemptSender& sender, RequestId& id);
+  void report_further_attempt(const Open& open, const std::string& server) const;
   void run_due_timers();
   void deliver_events();
   void set_timer(Micros at, TimerKind kind, std::uint64_t token, int attempt = 0);
@@ -258,6 +283,7 @@
   Counts counts_;
   std::map<std::string, Outcomes> outcomes_by_server_;
   BalancerObserver* observer_ = nullptr;
+  RequestObserver* request_observer_ = nullptr;
 };
 
 }  // namespace arrowfork
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -76,7 +76,7 @@
   pollfd p{fd_.get(), POLLRDHUP, 0};
   if (::poll(&p, 1, 0) <= 0) return;
   if (p.revents & (POLLERR | POLLHUP)) {
-    side_.close(*this);
+    side_.close(*this, CloseReason::Reset);
     return;
   }
   if (!(p.revents & POLLRDHUP)) return;
@@ -88,13 +88,13 @@
   ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kReadBufferBytes, 0);
   if (got < 0) {
     if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
-    side_.close(*this);  // reset: the client is gone
+    side_.close(*this, CloseReason::Reset);
     return;
   }
   if (lingering_) {  // input after our FIN is dropped
     lingered_ += static_cast<std::size_t>(got);
     if (got == 0 || (lingered_ > kLingerBytes && !unacknowledged()) || lingered_ > kMaxLingerBytes)
-      side_.close(*this);
+      side_.close(*this, CloseReason::ClientLeft);
     return;
   }
   if (got == 0) {
@@ -201,7 +201,8 @@
   notify_client_left();
   if (!waits_for_bulk_) parse_buffered();
   if (waits_for_bulk_) unparsed_input_.clear();
-  if (slots_.empty() && out_.empty() && unparsed_input_.empty()) side_.close(*this);
+  if (slots_.empty() && out_.empty() && unparsed_input_.empty())
+    side_.close(*this, CloseReason::ClientLeft);
 }
 
 void ClientConnection::notify_client_left() {
@@ -266,7 +267,7 @@
     if (put < 0) {
       if (errno == EINTR) continue;
       if (errno != EAGAIN && errno != EWOULDBLOCK) {
-        side_.close(*this);
+        side_.close(*this, CloseReason::Reset);
         return false;
       }
       if (!stalled_since_) stalled_since_ = side_.clock_.now();
@@ -294,7 +295,7 @@
 
 bool ClientConnection::end_if_due() {
   if (eof_ || broken_ || over_limit_) {
-    finish();
+    finish(reason_to_end());
     return true;
   }
   if (side_.closing() && between_requests()) {
@@ -303,7 +304,7 @@
   }
   bool all_parsed = unparsed_input_.empty() || waits_for_bulk_;
   if (side_.phase_ != ClientSide::Phase::Finishing || !all_parsed) return false;
-  finish();  // half a command
+  finish(CloseReason::Draining);  // half a command
   return true;
 }
 
@@ -312,22 +313,29 @@
   ClientSide::HandOverResult result = side_.shutting_down() && side_.hand_over_
                                           ? side_.hand_over_(fd_.get())
                                           : ClientSide::HandOverResult::NotSent;
-  if (result == ClientSide::HandOverResult::Sent) side_.close(*this);
-  if (result == ClientSide::HandOverResult::NotSent && still_idle_after_read()) finish();
+  if (result == ClientSide::HandOverResult::Sent) side_.close(*this, CloseReason::Draining);
+  if (result == ClientSide::HandOverResult::NotSent && still_idle_after_read())
+    finish(CloseReason::Draining);
 }
 
 void ClientConnection::finish_after_truncated_value() {
   slots_.clear();
-  finish();
+  finish(CloseReason::TruncatedValue);
 }
 
-void ClientConnection::finish() {
+CloseReason ClientConnection::reason_to_end() const {
+  if (eof_) return CloseReason::ClientLeft;
+  return broken_ ? CloseReason::FramingLost : CloseReason::OverLimit;
+}
+
+void ClientConnection::finish(CloseReason reason) {
   if (lingering_) return;
   if (eof_) {
-    side_.close(*this);
+    side_.close(*this, reason);
     return;
   }
   lingering_ = true;
+  side_.count_close(*this, reason);
   since_ = side_.clock_.now();
   ::shutdown(fd_.get(), SHUT_WR);
   event_add(read_.get(), nullptr);
@@ -354,7 +362,7 @@
   if (side_.closing() && has_no_work() && between_requests() && !lingering_ &&
       !side_.shutting_down() &&
       (now - since_ > kDrainIdleTimeout || now - side_.operator_drain_since_ > kDrainCloseAll)) {
-    if (still_idle_after_read()) finish();
+    if (still_idle_after_read()) finish(CloseReason::Draining);
     return;
   }
   bool in_value = codec_ && codec_->size_of_value_in_progress() > 0;
@@ -364,18 +372,19 @@
                    : in_value                       ? kValueTimeout
                                                     : kCommandTimeout;
   if (stalled_since_ && now - stalled_since_ > kWriteStallTimeout) {
-    side_.close(*this);
+    side_.close(*this, CloseReason::WriteStalled);
     return;
   }
   bool expired = (timeout > 0 && out_.empty() && now - since_ > timeout) ||
                  (in_value && slots_.empty() && now - last_read_at_ > kValueStallTimeout);
   if (!expired) return;
   if (lingering_) {
-    if (now - since_ > kWriteStallTimeout || !unacknowledged()) side_.close(*this);
+    if (now - since_ > kWriteStallTimeout || !unacknowledged())
+      side_.close(*this, CloseReason::Idle);
   } else if (!has_no_work()) {
-    finish();  // half a command
+    finish(CloseReason::HalfCommand);  // half a command
   } else if (still_idle_after_read()) {
-    finish();
+    finish(CloseReason::Idle);
   }
 }
 
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -96,7 +96,9 @@
   void finish_after_truncated_value();
 
   /// Closes after the last answer.
-  void finish();
+  void finish(CloseReason reason);
+  /// Why a connection without work is closed when its client sends nothing more.
+  CloseReason reason_to_end() const;
 
   void update_reading();
 
@@ -128,6 +130,7 @@
   bool lingering_ = false;
   bool dirty_ = false;
   bool closed_ = false;
+  bool close_counted_ = false;
   Micros since_;  // connect, first byte of a command, end of the last answer, or start of lingering
   Micros stalled_since_ = 0;
   Micros last_read_at_ = 0;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -44,7 +44,7 @@
 
 ClientSide::~ClientSide() {
   // While all members exist: the end of a request may answer another one.
-  while (!connections_.empty()) close(*connections_.back());
+  while (!connections_.empty()) close(*connections_.back(), CloseReason::Draining);
 }
 
 bool ClientSide::listen(const sockaddr_in& address, std::string& error, bool shared) {
@@ -141,10 +141,10 @@
       continue;
     if (kind != kLingering) {
       bool busy = !c->still_idle_after_read();
-      if (!busy && c->unacknowledged()) c->finish(), busy = true;
+      if (!busy && c->unacknowledged()) c->finish(CloseReason::Evicted), busy = true;
       if (busy) return evict_connection();  // one fewer is idle now
     }
-    close(*c);
+    close(*c, CloseReason::Evicted);
     return true;
   }
   return false;
@@ -196,8 +196,14 @@
   dirty_.push_back(&c);
 }
 
-void ClientSide::close(ClientConnection& c) {
+void ClientSide::count_close(ClientConnection& c, CloseReason reason) {
+  if (std::exchange(c.close_counted_, true)) return;
+  ++counts_.closed[static_cast<std::size_t>(reason)];
+}
+
+void ClientSide::close(ClientConnection& c, CloseReason reason) {
   if (c.closed_) return;
+  count_close(c, reason);
   c.closed_ = true;
   c.slots_.clear();
   c.read_.reset();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -1,6 +1,7 @@
 // The listener and the client connections. Answers are written in the order of their commands.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -16,6 +17,21 @@
 
 class ClientConnection;
 
+/// Why a client's connection was closed, or shut down to be closed.
+enum class CloseReason {
+  ClientLeft,      ///< closed by the client
+  Reset,           ///< reset by the client, or writing failed
+  Idle,            ///< nothing was asked for too long
+  HalfCommand,     ///< a command was not completed in time
+  WriteStalled,    ///< the client accepted no byte of its answer
+  Evicted,         ///< made way for another one
+  Draining,        ///< the process ends, or an operator drains it
+  FramingLost,     ///< the start of the next command is unknown
+  OverLimit,       ///< accepted only to refuse its commands
+  TruncatedValue,  ///< a value that had begun could not be delivered whole
+};
+constexpr std::size_t kCloseReasonCount = 10;
+
 /// One command's place in the order of answers of its connection. Owned by the connection and
 /// destroyed when the command is answered, or with the connection. The core holds a pointer to it
 /// as long as its request is open, so the destructor of an unanswered one tells the core.
@@ -94,6 +110,7 @@
   std::size_t streaming_values() const { return streaming_values_; }
   struct Counts {
     std::uint64_t meta = 0, binary = 0;  ///< connections by protocol, counted at their first byte
+    std::array<std::uint64_t, kCloseReasonCount> closed{};  ///< connections by CloseReason
   };
   const Counts& counts() const { return counts_; }
 
@@ -126,7 +143,9 @@
   static void on_disconnect_check(evutil_socket_t, short, void* self);
   /// Marks the connection for the next flush().
   void mark_dirty(ClientConnection& connection);
-  void close(ClientConnection& connection);
+  /// Destroys the connection in the next flush(). Its reason counts unless it was shut down before.
+  void close(ClientConnection& connection, CloseReason reason);
+  void count_close(ClientConnection& connection, CloseReason reason);
 
   event_base* base_;
   const TimeSource& clock_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -115,6 +115,7 @@
       clock_(clock),
       started_at_(clock.now()),
       core_(make_core(config, clock, *this)),
+      request_log_(clock),
       servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
       clients_(base, clock_, core_, servers_, client_limits(config)),
       discovery_(base, clock_, config.discovery, config.initial_list, subscription_options(config),
@@ -127,6 +128,7 @@
   log_event_.reset(event_new(base, -1, EV_PERSIST, on_log, this));
   timeval every = timeval_of(config_.log_interval);
   event_add(log_event_.get(), &every);
+  core_.set_request_observer(&request_log_);
   clients_.set_binary(config_.binary);
   clients_.set_stats([this] { return stats(); });
   servers_.set_protocols(config_.binary);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -22,6 +22,7 @@
 #include "frontend.hpp"
 #include "list_persistence.hpp"
 #include "recovery/recovery.hpp"
+#include "request_log.hpp"
 #include "server_side.hpp"
 
 namespace arrowfork {
@@ -71,6 +72,10 @@
   void on_attempt_end(RequestId id, int attempt, Status status, AttemptResult&& result) override {
     core_.on_attempt_ended(id, attempt, status, std::move(result));
   }
+  void on_late_write(const std::string& id_or_key, int attempt, const std::string& server,
+                     Micros waited) override {
+    request_log_.on_late_write(id_or_key, attempt, server, waited);
+  }
   // Discovery::Handler
   void on_hosts(HostList&& list) override;
   void on_drains(const HostList& list, bool drain_unlisted) override;
@@ -130,6 +135,7 @@
   const TimeSource& clock_;
   Micros started_at_;
   Core core_;
+  RequestLog request_log_;
   Micros timer_due_at_ = 0;
   EventPtr timer_event_, stop_event_, log_event_, tick_event_, heartbeat_event_;
   ServerSide servers_;
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -1,4 +1,6 @@
 // The router's counters and gauges: one list, for the log in logfmt and for a client's STAT.
+#include <sys/resource.h>
+
 #include <cmath>
 #include <cstdio>
 
@@ -11,6 +13,12 @@
 // have moved. A returning server passes this value half way up its ramp.
 constexpr double kDownLiveShare = 0.5;
 
+/// Peak resident memory of this process.
+long peak_memory_kib() {
+  rusage usage{};
+  return ::getrusage(RUSAGE_SELF, &usage) == 0 ? usage.ru_maxrss : 0;
+}
+
 std::string text_of(double value) {
   char text[32];
   std::snprintf(text, sizeof text, "%.6g", std::isfinite(value) ? value : 0);
@@ -47,6 +55,19 @@
   add("gone", c.gone);
   add("hits", c.hits);
   add("misses", c.misses);
+  auto submitted = [&](Core::SubmitResult r) { return c.submitted[static_cast<std::size_t>(r)]; };
+  add("refused_table_full", submitted(Core::SubmitResult::TableFull));
+  add("refused_shutdown", submitted(Core::SubmitResult::ShuttingDown));
+  add("id_in_use", submitted(Core::SubmitResult::IdInUse));
+  add("bad_class", submitted(Core::SubmitResult::InvalidClass));
+  add("memory_peak_kb", peak_memory_kib());
+  const char* const kCloseReasons[] = {"left",       "reset",    "idle",     "half_command",
+                                       "stalled",    "evicted",  "draining", "framing",
+                                       "over_limit", "truncated"};
+  static_assert(std::size(kCloseReasons) == kCloseReasonCount);
+  for (std::size_t k = 0; k < kCloseReasonCount; ++k)
+    all.emplace_back(std::string("clients_closed_") + kCloseReasons[k],
+                     std::to_string(clients_.counts().closed[k]));
   add("turned_away", m.shed);
   add("unsendable", m.unroutable);
   add("given_up", m.failed_after_attempts);
@@ -56,11 +77,9 @@
   add("curr_connections", clients_.connections());
   add("connections_meta", clients_.counts().meta);
   add("connections_binary", clients_.counts().binary);
-  const char* const kOutcomes[] = {"ok",        "error", "full", "timeout", "unreached", "reset",
-                                   "cancelled", "moot",  "miss", "spoilt",  "no_room"};
-  static_assert(std::size(kOutcomes) == robinseam::kStatusCount);
   for (std::size_t k = 0; k < c.outcomes.size(); ++k)
-    all.emplace_back(std::string("attempts_") + kOutcomes[k], std::to_string(c.outcomes[k]));
+    all.emplace_back(std::string("attempts_") + log_name_of(static_cast<Status>(k)),
+                     std::to_string(c.outcomes[k]));
   add("server_connections", servers_.connections());
   add("server_connections_idle", servers_.idle_connections());
   add("server_dials", s.dials);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 
+#include "request_log.hpp"
 #include "server_pool.hpp"
 #include "server_side.hpp"
 
@@ -99,6 +100,9 @@
          partial_bytes_ >= pending_[written_count_].encoded_size) {
     PendingAttempt& e = pending_[written_count_];
     partial_bytes_ -= e.encoded_size;
+    Micros waited = side_.clock_.now() - e.since;
+    if (e.awaited && waited > RequestLog::kLateWrite)
+      side_.handler_.on_late_write(e.expected.id_or_key, e.attempt, pool_.id, waited);
     std::string().swap(e.bytes);
     e.value.reset();
     ++written_count_;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -32,6 +32,12 @@
     /// each attempt, unless it was cancelled.
     virtual void on_attempt_end(RequestId id, int attempt, Status status,
                                 AttemptResult&& result) = 0;
+    /// The bytes of an attempt were written whole, `waited` after it was queued. For logs.
+    virtual void on_late_write(const std::string& id_or_key, int attempt, const std::string& server,
+                               Micros waited) {
+      static_cast<void>(id_or_key), static_cast<void>(attempt);
+      static_cast<void>(server), static_cast<void>(waited);
+    }
   };
   struct Limits {
     std::size_t max_connections = 300;  ///< to all servers
