A full table of request ids refuses nobody: it forgets ended ids early and keeps time

What callers saw: while one client sent reads with d=1 under ever new ids, others were refused (8 of 298 served); after it had filled the table once, everybody was refused for good. Cause: ids were recorded also for requests that were never sent, each for one to two spans; a full table refused every request, and it was emptied only when an id was recorded, so never again. Class: a shared table that one client can fill, with its expiry on the path that the full table closes.

Now RecentIds holds the ids of open requests exactly; those of ended ones as 64-bit hashes, counted from the end, with its clock looked at on each question; an id whose request cannot have run is free at once (a copy of a request that crossed a close is served). When a span brings more than the capacity, older ended ids go early (STAT ids_forgotten_early).

Related tables: keyed writes (evicts the oldest), retry detector, keys and seeds (generations), none of which refuses.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mix_bits.hpp"
+
 namespace arrowfork {
 namespace {
 
@@ -24,14 +26,6 @@
   return longest;
 }
 
-/// SplitMix64's finalizer (Steele, Lea and Flood, OOPSLA 2014). It is a bijection, so a counter
-/// never yields the same value twice.
-std::uint64_t mix_bits(std::uint64_t z) {
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  return z ^ (z >> 31);
-}
-
 }  // namespace
 
 Core::Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
@@ -45,8 +39,8 @@
       longest_deadline_(longest_deadline_of(settings.classes)),
       balancer_(settings, seed, clock.now(), rules),
       id_seed_(mix_bits(seed)),
-      max_open_(max_open),
-      max_ids_(max_ids) {
+      recent_ids_(longest_deadline_, max_ids, mix_bits(id_seed_)),
+      max_open_(max_open) {
   counts_.replies_by_class.resize(classes_.size());
 }
 
@@ -71,13 +65,16 @@
   const robinseam::ClassSettings* request_class = find_class(request.class_name);
   if (!request_class || (request_class->effect == robinseam::Effect::Keyed && !request.write))
     return SubmitResult::InvalidClass;
-  bool own_id = request.id.empty();  // make_id() never repeats an id, so these are not recorded
-  if (!own_id && is_id_in_use(request.id)) return SubmitResult::IdInUse;
-  if (open_.size() >= max_open_ || (!own_id && recent_ids_[0].size() >= max_ids_)) {
+  Micros now = clock_.now();
+  bool has_own_id = request.id.empty();  // make_id() never repeats an id
+  // Of two open requests with one id, one could be answered with the other's value, and cache
+  // servers would take the second for a hedge of the first. Ids of requests that have just ended
+  // count as well: a copy sent while the request was open may be read after its end.
+  if (!has_own_id && recent_ids_.contains(now, request.id)) return SubmitResult::IdInUse;
+  if (open_.size() >= max_open_) {
     record_refused(request.class_name);
     return SubmitResult::TableFull;
   }
-  Micros now = clock_.now();
   // A request stays open no longer than its class allows; a longer time would only hold its memory.
   Micros time_left = std::min(request.time_left, request_class->deadline);
   if (is_too_late(now, time_left, *request_class)) {
@@ -86,12 +83,13 @@
   }
   ++counts_.requests;
   ++unanswered_;
-  if (own_id)
+  if (has_own_id)
     request.id = make_id();
   else
-    record_id(request.id);
+    recent_ids_.open(request.id);
   id = next_id_++;
   Open& open = open_[id];
+  open.has_own_id = has_own_id;
   open.sink = &sink;
   open.sender = &sender;
   open.deadline = now + time_left;
@@ -124,22 +122,6 @@
   return id;
 }
 
-/// Of two open requests with one id, one could be answered with the other's value, and cache
-/// servers would take the second for a hedge of the first. Ids of requests that have just ended
-/// count as well: a hedge sent while the request was open may be read after its end.
-bool Core::is_id_in_use(const std::string& id) const {
-  return recent_ids_[0].count(id) > 0 || recent_ids_[1].count(id) > 0;
-}
-
-void Core::record_id(const std::string& id) {
-  Micros now = clock_.now();
-  if (now - ids_rotated_at_ > longest_deadline_) {
-    recent_ids_[1] = std::exchange(recent_ids_[0], {});
-    ids_rotated_at_ = now;
-  }
-  recent_ids_[0].insert(id);
-}
-
 const robinseam::ClassSettings* Core::find_class(const std::string& name) const {
   for (const auto& c : classes_)
     if (c.name == name) return &c;
@@ -242,7 +224,15 @@
   if (!open.answered || open.pending_outcomes > 0) return;
   for (const Attempt& a : open.attempts)
     if (a.in_flight) return;
-  open_.erase(it);
+  erase(it);
+}
+
+void Core::erase(std::unordered_map<RequestId, Open>::iterator request) {
+  const Open& open = request->second;
+  bool may_have_run = std::any_of(open.attempts.begin(), open.attempts.end(),
+                                  [](const Attempt& one) { return one.may_have_run; });
+  if (!open.has_own_id) recent_ids_.close(clock_.now(), open.request.id, may_have_run);
+  open_.erase(request);
 }
 
 // ---- attempts ----
@@ -392,7 +382,7 @@
       if (it == open_.end()) continue;
       const Open& open = it->second;
       if (open.answered) {  // the client left before the balancer saw the request
-        open_.erase(it);
+        erase(it);
         continue;
       }
       robinseam::Request r;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "../io/clock.hpp"
+#include "recent_ids.hpp"
 #include "request.hpp"
 
 namespace arrowfork {
@@ -99,8 +100,8 @@
 class Core {
  public:
   /// Throws std::invalid_argument naming the invalid setting. `clock` and `list_source` must
-  /// outlive the core. At most `max_open` requests are open at once, and at most `max_ids` requests
-  /// with client-chosen ids are accepted within the longest deadline.
+  /// outlive the core. At most `max_open` requests are open at once. The client-chosen ids of ended
+  /// requests are remembered for the longest deadline, or until `max_ids` more have ended.
   /// `rules`: as for the constructor of Balancer.
   Core(const robinseam::Settings& settings, std::uint64_t seed, const TimeSource& clock,
        ListSource& list_source, std::size_t max_open, std::size_t max_ids,
@@ -167,6 +168,8 @@
     std::vector<Replies> replies_by_class;
   };
   const Counts& counts() const { return counts_; }
+  /// Times at which ids of ended requests were forgotten early.
+  std::uint64_t ids_forgotten_early() const { return recent_ids_.forgotten_early(); }
   using Outcomes = std::array<std::uint32_t, robinseam::kStatusCount>;  ///< by Status
   /// Outcomes of attempts by server since the last call, for at most kMaxCountedServers servers;
   /// outcomes of further servers are not counted.
@@ -192,6 +195,7 @@
     AttemptSender* sender = nullptr;
     Request request;
     Micros deadline = 0;
+    bool has_own_id = false;     // made by the core, so no client can repeat it
     bool answered = false;       // the reply is given, or the client is gone
     bool half_closed = false;    // the client sends no more: no further attempt is sent
     bool last_was_miss = false;  // the last attempt ended in a miss
@@ -248,8 +252,7 @@
   }  // the balancer sends no probes: the router does not allow them
   void expire(RequestId id, int attempt);
   std::string make_id();
-  bool is_id_in_use(const std::string& id) const;
-  void record_id(const std::string& id);
+  void erase(std::unordered_map<RequestId, Open>::iterator request);
   Counts::Replies* replies_of(const std::string& class_name);
   void give_reply(Open& open, Reply&& reply);
   void withdraw_unsent(RequestId id, Open& open);
@@ -270,11 +273,8 @@
   std::unordered_map<RequestId, Open> open_;
   RequestId next_id_ = 1;
   std::uint64_t id_seed_;
-  // Client-chosen ids of the last one to two times the longest deadline, which include those of
-  // all open requests.
-  std::array<std::unordered_set<std::string>, 2> recent_ids_;
-  Micros ids_rotated_at_ = 0;
-  std::size_t max_open_, max_ids_;
+  RecentIds recent_ids_;
+  std::size_t max_open_;
   Micros answers_due_at_ = 0;  // 0: no shutdown is planned
   std::size_t unanswered_ = 0;
   std::deque<Event> events_;
--- /dev/null
+++ b/src/core/recent_ids.cpp
@@ -0,0 +1,57 @@
+#include "recent_ids.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "mix_bits.hpp"
+
+namespace arrowfork {
+
+RecentIds::RecentIds(Micros span, std::size_t capacity, std::uint64_t seed)
+    : span_(span), capacity_(std::max<std::size_t>(1, capacity)), seed_(seed) {}
+
+std::uint64_t RecentIds::hash_of(std::string_view id) const {
+  std::uint64_t hash = mix_bits(seed_ + id.size());
+  while (!id.empty()) {
+    std::uint64_t word = 0;
+    std::size_t size = std::min(sizeof word, id.size());
+    for (std::size_t k = 0; k < size; ++k) word = word << 8 | static_cast<unsigned char>(id[k]);
+    hash = mix_bits(hash ^ word);
+    id.remove_prefix(size);
+  }
+  return hash;
+}
+
+void RecentIds::rotate(Micros now) {
+  ended_[1] = std::exchange(ended_[0], {});
+  rotated_at_ = now;
+}
+
+/// Also where no id comes: what is remembered must end by itself.
+void RecentIds::rotate_if_due(Micros now) {
+  if (now - rotated_at_ <= span_) return;
+  if (now - rotated_at_ > 2 * span_) ended_[0].clear();
+  rotate(now);
+}
+
+bool RecentIds::contains(Micros now, std::string_view id) {
+  rotate_if_due(now);
+  std::uint64_t hash = hash_of(id);
+  return open_.contains(hash) || ended_[0].contains(hash) || ended_[1].contains(hash);
+}
+
+void RecentIds::open(std::string_view id) { open_.insert(hash_of(id)); }
+
+void RecentIds::close(Micros now, std::string_view id, bool may_have_run) {
+  rotate_if_due(now);
+  std::uint64_t hash = hash_of(id);
+  open_.erase(hash);
+  if (!may_have_run) return;
+  if (ended_[0].size() >= capacity_) {
+    forgotten_early_ += !ended_[1].empty();
+    rotate(now);
+  }
+  ended_[0].insert(hash);
+}
+
+}  // namespace arrowfork
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -59,6 +59,7 @@
   add("refused_table_full", submitted(Core::SubmitResult::TableFull));
   add("refused_shutdown", submitted(Core::SubmitResult::ShuttingDown));
   add("id_in_use", submitted(Core::SubmitResult::IdInUse));
+  add("ids_forgotten_early", core_.ids_forgotten_early());
   add("bad_class", submitted(Core::SubmitResult::InvalidClass));
   add("memory_peak_kb", peak_memory_kib());
   const char* const kCloseReasons[] = {"left",       "reset",    "idle",     "half_command",
