A client with hardly any time is no evidence against servers

What callers saw: beside a client that sends d=1 at full speed, 23 of 299 requests of others were refused. Cause: each attempt that its client's deadline ended counted as a stall and as overload of its server, however little time there had been. Now a request whose whole time is under a quarter of the attempt timeout says nothing. A trial that used the attempt's own time instead (half of the attempt timeout) lost FaultScenarios/beyond_origin_overloaded, where retries with little time left are evidence.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -141,6 +141,8 @@
 // Attempts. The timeout of an attempt is this multiple of the latency quantile of its class.
 constexpr double kTimeoutQuantile = 0.95;
 constexpr double kTimeoutFactor = 2.0;
+// A client whose whole time is a smaller share of the attempt timeout can hardly be served.
+constexpr double kLittleTimeShare = 0.25;
 // Suspicion above which errors are attributed to the server.
 constexpr double kServerFaultSuspicion = 0.9;
 // Above this error rate of the fleet, errors are not retried.
@@ -641,6 +643,13 @@
     record_failure(s, weight * server_share(a), late_rate);
   }
 
+  /// Whether its client had so little time that an attempt without an answer says nothing about the
+  /// server or its load.
+  bool had_little_time(const OpenRequest& o) const {
+    return static_cast<double>(o.request.remaining) <
+           kLittleTimeShare * static_cast<double>(attempt_timeout(o));
+  }
+
   /// A client may give up before the attempt timeout: an attempt in flight longer than the latency
   /// quantile counts half. Otherwise clients with short deadlines would never reveal a silent
   /// server.
@@ -836,9 +845,9 @@
   }
 
   /// What an attempt's end says about load.
-  limits::Evidence evidence(const Attempt& a, Status status) const {
+  limits::Evidence evidence(const OpenRequest& o, const Attempt& a, Status status) const {
     if (status == Status::Ok) return limits::Evidence::Good;
-    bool lost = status == Status::Error || status == Status::Timeout ||
+    bool lost = status == Status::Error || (status == Status::Timeout && !had_little_time(o)) ||
                 (status == Status::Cancelled && a.overdue);
     return lost ? limits::Evidence::Bad : limits::Evidence::None;
   }
@@ -1219,6 +1228,8 @@
   // Rejections and silence are judged together with the server's utilization.
   if (r.status == Status::Rejected)
     m.record_rejection(s);
+  else if (r.status == Status::Timeout && m.had_little_time(o))
+    m.record_abandoned(o, a);
   else if (r.status == Status::Timeout)
     m.record_stall(a, 1);
   else if (r.status == Status::Cancelled && r.paused &&
@@ -1230,7 +1241,7 @@
                            m.server_share(a));
   // A latency longer than the client waited comes from a clock step or a process pause.
   Micros latency = std::min(r.latency, std::max<Micros>(o.request.remaining, m.settings.tick));
-  limits::Evidence load = m.evidence(a, r.status);
+  limits::Evidence load = m.evidence(o, a, r.status);
   m.attempt_limits.record_end(m.now, a.sent_at, static_cast<std::size_t>(a.server), a.fetch_weight,
                               load, m.is_outlier(s) || s.suspicion >= kServerFaultSuspicion,
                               latency, r.cache_result, o.admission);
@@ -1263,7 +1274,8 @@
       o.missed = true;
       break;
     case Status::Timeout:
-      m.record_latency(s, o.class_index, latency, false, m.server_share(a));
+      if (!m.had_little_time(o))
+        m.record_latency(s, o.class_index, latency, false, m.server_share(a));
       break;
     case Status::Error:
       m.record_failure(s, 0.5, m.error_rate);
@@ -1338,7 +1350,7 @@
   if (kind == kDeadlineTimer) {
     for (Impl::Attempt& a : o.attempts) {
       if (a.run_state != Impl::RunState::InFlight) continue;
-      a.overdue = true;
+      a.overdue = !m.had_little_time(o);
       m.record_abandoned(o, a);
     }
     m.refuse_or_fail(o);
