A further attempt of a keyed write is not written past the window of its key

Cause: may_send compares the window with the time of the decision; nothing looked again when the bytes were written. Class: a limit checked when something is queued and not when it takes effect.

The decision module now says how long an attempt may be written (Send::valid_for); the core withdraws it by then, before each write, also where it is written in part and others wait on the connection (a new kind of withdrawal, which ends the connection). Related path: the time that an attempt tells its server was that of the queueing too; it is set anew when over 20 ms have passed.

--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -173,6 +173,9 @@
   RequestId id;
   std::string server;
   Micros timeout;  ///< 0 = until the client gives up
+  /// For a further attempt of a Keyed write: its bytes may be written only this long from now, since
+  /// after that servers may run it again. 0 = as long as the client waits.
+  Micros valid_for = 0;
 };
 /// Final answer: retrying is harmless.
 struct Refuse {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -150,12 +150,26 @@
 /// Withdraws attempts that still wait for a connection, behind others or for a full socket: no
 /// client waits for them any more.
 void Core::withdraw_unsent(RequestId id, Open& open) {
-  for (std::size_t k = 0; k < open.attempts.size(); ++k) {
-    Attempt& a = open.attempts[k];
-    if (!a.sender_owes_end || !open.sender->withdraw(a.server, id, static_cast<int>(k))) continue;
-    a.sender_owes_end = a.may_have_run = false;
-    if (a.in_flight) queue_outcome(id, open, static_cast<int>(k), Status::NotSent, nullptr);
-  }
+  for (std::size_t k = 0; k < open.attempts.size(); ++k)
+    withdraw(id, open, static_cast<int>(k), AttemptSender::Withdrawal::IfHarmless);
+}
+
+/// Withdraws an attempt if it is not fully sent; false if it continues or has ended.
+bool Core::withdraw(RequestId id, Open& open, int attempt, AttemptSender::Withdrawal how) {
+  Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
+  if (!a.sender_owes_end || !open.sender->withdraw(a.server, id, attempt, how)) return false;
+  a.sender_owes_end = a.may_have_run = false;
+  if (a.in_flight) queue_outcome(id, open, attempt, Status::NotSent, nullptr);
+  return true;
+}
+
+/// From now on servers may run a repeat of a keyed write again, so an attempt that still waits for
+/// its connection must not be written.
+void Core::end_key_window(RequestId id, int attempt) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  if (withdraw(id, it->second, attempt, AttemptSender::Withdrawal::Required))
+    ++counts_.withdrawn_past_window;
 }
 
 /// The reply is Refused (safe to retry) only if no attempt has run; a write with an idempotency key
@@ -352,10 +366,17 @@
   while (!timers_.empty() && timers_.top().at <= now) {
     Timer t = timers_.top();
     timers_.pop();
-    if (t.kind == TimerKind::Balancer)
-      events_.push_back(TimerEvent{t.token});
-    else
-      expire(t.token, t.attempt);
+    switch (t.kind) {
+      case TimerKind::Balancer:
+        events_.push_back(TimerEvent{t.token});
+        break;
+      case TimerKind::Expiry:
+        expire(t.token, t.attempt);
+        break;
+      case TimerKind::WindowEnd:
+        end_key_window(t.token, t.attempt);
+        break;
+    }
   }
 }
 
@@ -437,6 +458,7 @@
     timeout = a.timeout;
     set_timer(now + timeout, TimerKind::Expiry, a.id, attempt);
   }
+  if (a.valid_for > 0) set_timer(now + a.valid_for, TimerKind::WindowEnd, a.id, attempt);
   open.sender->send(a.server, a.id, attempt, open.request, timeout);
 }
 
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -44,9 +44,13 @@
                                                int attempt) {
     return cancel(server, id, attempt);
   }
+  enum class Withdrawal {
+    IfHarmless,  ///< lets the attempt continue if other attempts would be disturbed
+    Required,    ///< also ends other attempts for it
+  };
   /// Withdraws an attempt that its server has not received in full, so that it never runs. Returns
   /// false, and lets the attempt continue, if it is too late or would disturb other attempts.
-  virtual bool withdraw(const std::string&, RequestId, int) { return false; }
+  virtual bool withdraw(const std::string&, RequestId, int, Withdrawal) { return false; }
   /// Whether every server that an attempt may reach receives the write's idempotency key.
   virtual bool supports_idempotency_key(const Request& request) const = 0;
   /// True if the caller of the router sends the attempts itself and is only told the server. Such
@@ -161,6 +165,7 @@
     std::uint64_t requests = 0, refused = 0, failed = 0, gone = 0, hits = 0, misses = 0;
     std::array<std::uint64_t, robinseam::kStatusCount> outcomes{};  ///< by Status
     std::array<std::uint64_t, kSubmitResultCount> submitted{};      ///< by SubmitResult
+    std::uint64_t withdrawn_past_window = 0;  ///< attempts whose key's window ended unsent
     /// By class, in the order of the settings. Requests whose client is gone count in none.
     struct Replies {
       std::uint64_t served = 0, refused = 0, failed = 0;
@@ -225,7 +230,7 @@
   using Event = std::variant<OutcomeEvent, RequestEvent, ClientGoneEvent, ResumedEvent, ListEvent,
                              TimerEvent>;
 
-  enum class TimerKind { Balancer, Expiry };
+  enum class TimerKind { Balancer, Expiry, WindowEnd };
   struct Timer {
     Micros at;
     std::uint64_t order;  // timers that are due at the same time run in the order they were set
@@ -251,6 +256,8 @@
   void apply(const robinseam::Probe&) {
   }  // the balancer sends no probes: the router does not allow them
   void expire(RequestId id, int attempt);
+  void end_key_window(RequestId id, int attempt);
+  bool withdraw(RequestId id, Open& open, int attempt, AttemptSender::Withdrawal how);
   std::string make_id();
   void erase(std::unordered_map<RequestId, Open>::iterator request);
   Counts::Replies* replies_of(const std::string& class_name);
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -97,6 +97,7 @@
   add("server_connections_kept", s.kept_open);
   add("server_attempts_recalled", s.withdrawn_leaving);
   add("server_attempts_taken_back", s.withdrawn_client_gone);
+  add("server_attempts_past_window", c.withdrawn_past_window);
   add("server_garbage", s.malformed_answers);
   add("server_late_answers", s.late_answers);
   add("server_wrong_protocol", s.wrong_protocol);
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -20,20 +20,22 @@
                           static_cast<std::size_t>(
                               std::to_chars(digits, digits + sizeof digits, wait_ms).ptr - digits));
     std::string text;
+    std::size_t wait_at = 0;
     bool bulk = r.value && r.value->size() > kMaxValue;
     std::size_t value = r.value && !bulk ? r.value->size() + 2 : 0;
     if (!r.line_before_deadline.empty()) {
       text.reserve(r.line_before_deadline.size() + wait.size() + r.line_after_deadline.size() + 2 +
                    value);
+      wait_at = r.line_before_deadline.size();
       text.append(r.line_before_deadline).append(wait).append(r.line_after_deadline);
     } else {
       text.reserve(128 + r.key.size() + value);
-      append_command(r, wait, text);
+      wait_at = append_command(r, wait, text);
     }
     text += "\r\n";
-    if (bulk) return {std::move(text), r.value, "\r\n"};
+    if (bulk) return {std::move(text), r.value, "\r\n", wait_at, wait.size()};
     if (r.value) text.append(*r.value).append("\r\n");
-    return {std::move(text), nullptr, {}};
+    return {std::move(text), nullptr, {}, wait_at, wait.size()};
   }
 
   Parsed parse(std::string_view& in, const ExpectedAnswer* next, Answer& answer) override {
@@ -71,8 +73,9 @@
 
  private:
   /// The command line for a request whose client does not speak meta: the form that PROTOCOL
-  /// specifies, with the standard meta flags for a binary client's item flags and expiry.
-  static void append_command(const Request& r, std::string_view wait, std::string& text) {
+  /// specifies, with the standard meta flags for a binary client's item flags and expiry. Returns
+  /// where the wait stands.
+  static std::size_t append_command(const Request& r, std::string_view wait, std::string& text) {
     text.append(r.write ? "ms " : "mg ").append(r.key);
     if (r.write)
       text.append(" ").append(std::to_string(r.value->size()));
@@ -83,10 +86,13 @@
     if (r.expiry) text.append(" T").append(std::to_string(r.expiry));
     text.append(" O").append(r.id).append(" Pc=").append(r.class_name);
     if (!r.tenant.empty()) text.append(",t=").append(r.tenant);
-    text.append(",d=").append(wait);
+    text.append(",d=");
+    std::size_t wait_at = text.size();
+    text.append(wait);
     if (!r.idempotency_key.empty()) text.append(",k=").append(r.idempotency_key);
     if (r.retry) text.append(",r=1");
     if (r.work) text.append(",h=").append(std::to_string(*r.work));
+    return wait_at;
   }
 
   static Status status_of(const arrowfork::Answer& answer) {
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -31,6 +31,8 @@
     std::string bytes;
     std::shared_ptr<const std::string> value;  ///< set when the value is large
     std::string_view tail;                     ///< points to static storage
+    /// Where `bytes` tells the milliseconds that the server has; size 0: nowhere.
+    std::size_t wait_at = 0, wait_size = 0;
   };
   /// Fills `expected` with what the answer has to carry. `opaque` must differ for each call on any
   /// connection.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -21,6 +21,8 @@
 // that follows another within this time may be such a duplicate, and then it is not the answer to
 // the next command.
 constexpr Micros kDuplicateAnswerTime = 50 * kMillisecond;
+// Servers are told at most this much more time than is left. STANDING allows 0.15 s.
+constexpr Micros kMaxToldWaitError = 20 * kMillisecond;
 
 }  // namespace
 
@@ -76,6 +78,19 @@
   return std::min(pending_.size(), std::max<std::size_t>(1, written_count_ + (partial_bytes_ > 0)));
 }
 
+void ServerConnection::update_told_waits() {
+  Micros now = side_.clock_.now();
+  for (std::size_t k = written_count_ + (partial_bytes_ > 0); k < pending_.size(); ++k) {
+    PendingAttempt& e = pending_[k];
+    if (e.wait_size == 0 || now - e.since < kMaxToldWaitError) continue;
+    std::string wait =
+        std::to_string(std::max<Micros>(1, (e.deadline - now + kMillisecond - 1) / kMillisecond));
+    e.bytes.replace(e.wait_at, e.wait_size, wait);
+    e.encoded_size += wait.size();
+    e.encoded_size -= std::exchange(e.wait_size, wait.size());
+  }
+}
+
 std::size_t ServerConnection::gather_unwritten(std::size_t until, std::span<iovec> parts) const {
   constexpr std::size_t kPartsOfEntry = 3;
   std::size_t count = 0, skip = partial_bytes_;
@@ -119,6 +134,7 @@
     side_.close(*this);
     return;
   }
+  update_told_waits();
   while (written_count_ < writable_count()) {
     std::array<iovec, 64> parts;
     msghdr message{};
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -34,6 +34,8 @@
     std::string bytes;  // the command, with its value unless that is large
     std::shared_ptr<const std::string> value;
     std::string_view tail;
+    std::size_t wait_at = 0, wait_size = 0;  // where `bytes` tells the time that the server has
+    Micros deadline = 0;                     // when the router stops waiting
     std::size_t encoded_size;  // of bytes, value and tail, which are freed once written
     Micros since;              // when it was queued; once abandoned, when that happened
   };
@@ -55,6 +57,8 @@
   /// Writes the attempts that may be written now.
   void flush();
 
+  /// Makes the attempts that have waited tell the time that is left now.
+  void update_told_waits();
   /// How many of the pending attempts, from the front, may be written.
   std::size_t writable_count() const;
   /// Fills `parts` with unwritten bytes of the attempts before `until`, as far as they fit; returns
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -342,8 +342,11 @@
   e.bytes = std::move(encoded.bytes);
   e.value = std::move(encoded.value);
   e.tail = encoded.tail;
+  e.wait_at = encoded.wait_at;
+  e.wait_size = encoded.wait_size;
   e.encoded_size = e.bytes.size() + (e.value ? e.value->size() + e.tail.size() : 0);
   e.since = clock_.now();
+  e.deadline = e.since + wait;
   c->idle_before_use_ = c->idle() ? e.since - c->last_used_at_ : 0;
   c->last_used_at_ = e.since;
   c->pending_.push_back(std::move(e));
@@ -374,7 +377,7 @@
   return Status::Cancelled;
 }
 
-bool ServerSide::withdraw(const std::string& server, RequestId id, int attempt) {
+bool ServerSide::withdraw(const std::string& server, RequestId id, int attempt, Withdrawal how) {
   auto it = pools_.find(server);
   if (it == pools_.end()) return false;
   for (auto& owner : it->second->connections) {
@@ -386,9 +389,9 @@
         c.pending_.erase(c.pending_.begin() + static_cast<std::ptrdiff_t>(k));
       } else {
         auto begun = c.pending_.begin() + static_cast<std::ptrdiff_t>(c.written_count_);
-        if (c.pipe_ ||
-            std::any_of(c.pending_.begin(), begun, [](const auto& other) { return other.awaited; }))
-          return false;
+        bool others = c.pipe_ || std::any_of(c.pending_.begin(), begun,
+                                             [](const auto& other) { return other.awaited; });
+        if (others && how == Withdrawal::IfHarmless) return false;
         e.awaited = false;
         close(c);
       }
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -72,9 +72,9 @@
   /// if no other attempt on it is awaited and the close budget allows it.
   std::optional<Status> stop_for_retry(const std::string& server, RequestId id,
                                        int attempt) override;
-  /// Withdrawing an attempt that is partly written closes its connection. This is done only if no
-  /// attempt that may have started is awaited there.
-  bool withdraw(const std::string& server, RequestId id, int attempt) override;
+  /// Withdrawing an attempt that is partly written closes its connection. Unless it is required,
+  /// this is done only if no attempt that may have started is awaited there.
+  bool withdraw(const std::string& server, RequestId id, int attempt, Withdrawal how) override;
   /// The binary protocol has no field for an idempotency key, so false while a listed server speaks
   /// it. If those servers take the CAS as the key (`server_idempotency`), keys that a CAS can
   /// represent are kept.
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -840,6 +840,19 @@
     return true;
   }
 
+  /// Until when an attempt of a Keyed write may be written, by the attempts before it that may have
+  /// run; none if there are none.
+  std::optional<Micros> key_window_end(const OpenRequest& o) const {
+    if (effect_of(o) != Effect::Keyed) return std::nullopt;
+    std::optional<Micros> first;
+    if (const auto* known = o.write_hash ? keyed_writes.first_send(o.write_hash) : nullptr)
+      first = known->sent_at;
+    for (const Attempt& a : o.attempts)
+      if (a.run_state != RunState::NotRun && (!first || a.sent_at < *first)) first = a.sent_at;
+    if (!first) return std::nullopt;
+    return *first + settings.classes[o.class_index].key_ttl - 2 * settings.tick;
+  }
+
   bool may_refuse(const OpenRequest& o) const {
     const ClassSettings& c = settings.classes[o.class_index];
     const recovery::KeyedWrites::FirstSend* first =
@@ -962,6 +975,7 @@
 
   void dispatch(OpenRequest& o, int server, double fetch_weight) {
     ServerState& s = servers[server];
+    const std::optional<Micros> window_end = key_window_end(o);
     if (!o.attempts.empty()) ++(any_in_flight(o) ? hedges : retries);
     trials += s.ramp_start > 0 && s.suspicion > 0;
     o.attempts.push_back({server, now});
@@ -985,7 +999,8 @@
       else
         send_timeout = timeout;
     }
-    actions.push_back(Send{o.request.id, s.entry.id, send_timeout});
+    Micros valid_for = window_end ? std::max<Micros>(1, *window_end - now) : 0;
+    actions.push_back(Send{o.request.id, s.entry.id, send_timeout, valid_for});
   }
 
   void retry_or_finish(OpenRequest& o, Status status) {
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -86,7 +86,10 @@
   std::optional<Status> stop_for_retry(const std::string&, RequestId, int) override {
     return stop_result_;
   }
-  bool withdraw(const std::string&, RequestId, int) override { return attempts_unsent_; }
+  bool withdraw(const std::string&, RequestId, int, Withdrawal how) override {
+    last_withdrawal_ = how;
+    return attempts_unsent_;
+  }
   bool supports_idempotency_key(const Request&) const override { return servers_get_key_; }
   void watch_list() override {}
   void fetch_list() override {}
@@ -95,6 +98,7 @@
   bool servers_get_key_ = true;
   int cancelled_ = 0;
   std::optional<Status> stop_result_ = Status::Cancelled;  // result of stop_for_retry()
+  std::optional<Withdrawal> last_withdrawal_;
   bool attempts_unsent_ = false;  // attempts are not sent yet, so they can be withdrawn
   std::vector<Sent> sent_;
   std::set<std::string> sent_ids_;
@@ -366,6 +370,29 @@
   }
 }
 
+TEST_F(CoreTest, AFurtherAttemptOfAKeyedWriteIsWithdrawnWhenTheWindowEndsUnsent) {
+  robinseam::Settings settings = with_put(robinseam::Effect::Keyed);
+  settings.classes[1].key_ttl = 300 * kMillisecond;
+  settings.classes[1].latency_objective = kSecond;  // so that no attempt is given up
+  make_core(settings);
+  Sink sink;
+  submit(put("key-1"), sink);
+  now_ += 100 * kMillisecond;
+  end_attempt(0, Status::Reset);
+  ASSERT_EQ(sent_.size(), 2u);
+  attempts_unsent_ = true;  // the second one waits for its connection
+  now_ += 190 * kMillisecond;
+  core_->process_events();
+  EXPECT_FALSE(last_withdrawal_);
+  now_ += 10 * kMillisecond;
+  core_->process_events();
+  EXPECT_EQ(last_withdrawal_, Withdrawal::Required);
+  EXPECT_EQ(sent_.size(), 2u);
+  EXPECT_EQ(sink.replies, 1);
+  EXPECT_EQ(sink.last.kind, Reply::Kind::Failed);
+  EXPECT_EQ(core_->counts().withdrawn_past_window, 1u);
+}
+
 TEST_F(CoreTest, WriteWithoutKeyIsRetriedAfterAnAttemptThatDidNotRun) {
   make_core(with_put(robinseam::Effect::Keyed));
   Sink sink;
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -378,7 +378,7 @@
   FullBacklog server;
   Servers servers(server.peer.address());
   RequestId gone = servers.send();
-  EXPECT_TRUE(servers.side.withdraw("s-1", gone, 0));
+  EXPECT_TRUE(servers.side.withdraw("s-1", gone, 0, AttemptSender::Withdrawal::IfHarmless));
   TestConnection link;
   std::thread late([&] { link = server.accept_pending_dial(); });
   servers.run_until([&] { return servers.side.idle_connections() == 1; });
@@ -416,10 +416,11 @@
   TestConnection link = server.accept();
   servers.run();
   RequestId behind = servers.send();
-  EXPECT_TRUE(servers.side.withdraw("s-1", behind, 0));
+  EXPECT_TRUE(servers.side.withdraw("s-1", behind, 0, AttemptSender::Withdrawal::IfHarmless));
   EXPECT_EQ(servers.side.counts().written, 0u);
   RequestId last = servers.send();
-  EXPECT_TRUE(servers.side.withdraw("s-1", large, 0));  // incomplete, so it never runs
+  EXPECT_TRUE(servers.side.withdraw(
+      "s-1", large, 0, AttemptSender::Withdrawal::IfHarmless));  // incomplete, so it never runs
   EXPECT_EQ(servers.wait_for_end(last), Status::ConnectFailed);
   EXPECT_EQ(servers.side.connections(), 0u);
   EXPECT_EQ(servers.side.counts().written, 0u);
@@ -436,19 +437,42 @@
   TestConnection link = server.accept();
   RequestId large = servers.send(true, 32u << 20);
   servers.run();
-  EXPECT_FALSE(servers.side.withdraw("s-1", large, 0));
+  EXPECT_FALSE(servers.side.withdraw("s-1", large, 0, AttemptSender::Withdrawal::IfHarmless));
   link.line();
   link.write(value_answer("e1", "v"));
   EXPECT_EQ(servers.wait_for_end(first), Status::Ok);
 }
 
+TEST(Endings, APartlyWrittenValueThatMustNotRunEndsItsConnection) {
+  Peer server;
+  Servers servers(server.address());
+  RequestId first = servers.send();
+  servers.wait_until_written(1);
+  TestConnection link = server.accept();
+  RequestId large = servers.send(true, 32u << 20);
+  servers.run();
+  EXPECT_TRUE(servers.side.withdraw("s-1", large, 0, AttemptSender::Withdrawal::Required));
+  EXPECT_EQ(servers.wait_for_end(first), Status::Reset);
+  EXPECT_EQ(servers.side.counts().written, 1u);
+}
+
+TEST(Endings, AnAttemptThatWaitedForItsDialTellsTheTimeThatIsLeft) {
+  FullBacklog full;
+  Servers servers(full.peer.address());
+  servers.send();  // with 1,000 ms left
+  servers.clock.at += 700 * kMillisecond;
+  TestConnection link = full.accept_pending_dial();
+  servers.wait_until_written(1);
+  EXPECT_NE(link.line().find(",d=300"), std::string::npos);
+}
+
 TEST(Endings, AttemptsThatWaitForTheFirstAnswerOfAServerAreWithdrawn) {
   Peer server;
   Servers servers(server.address(), true);
   servers.send();
   servers.wait_until_written(1);
   RequestId gone = servers.send();
-  EXPECT_TRUE(servers.side.withdraw("s-1", gone, 0));
+  EXPECT_TRUE(servers.side.withdraw("s-1", gone, 0, AttemptSender::Withdrawal::IfHarmless));
   EXPECT_EQ(servers.side.counts().written, 1u);
 }
 
