An answer that is arriving fast enough is waited for, however short the attempt timeout

What callers saw: a value of 64,000 bytes written at 160 KB/s or 6 MB/s was tried up to 5 times, and 2 of 4 requests were refused with time left. Cause: the attempt timeout follows the usual latency of the class, whatever the size, and went on counting while the answer's bytes came; each retry fetched the same bytes again. Class: one time-out for the first byte, the progress and the end.

What an answer says about its server's load is the time to its first bytes.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -17,6 +17,8 @@
 constexpr Micros kMaxTimeNeeded = kSecond;
 // Interval at which stopping an attempt after its timeout is tried again.
 constexpr Micros kStopRetryInterval = 20 * kMillisecond;
+// Interval at which an answer that is arriving is looked at after its attempt's timeout.
+constexpr Micros kProgressCheckInterval = 20 * kMillisecond;
 // Values of Timer::attempt for timers that are not the timeout of an attempt.
 constexpr int kRequestDeadline = -1, kReplyGuard = -2, kHalfClosedGuard = -3;
 
@@ -293,6 +295,10 @@
     erase_if_done(id);
     return;
   }
+  if (attempt >= 0 && is_answer_arriving(id, open, attempt)) {
+    set_timer(clock_.now() + kProgressCheckInterval, TimerKind::Expiry, id, attempt);
+    return;
+  }
   for (std::size_t k = 0; k < open.attempts.size(); ++k) {
     Attempt& a = open.attempts[k];
     if (!a.in_flight || (attempt >= 0 && static_cast<int>(k) != attempt)) continue;
@@ -320,6 +326,15 @@
   erase_if_done(id);
 }
 
+/// Whether the attempt's answer is arriving fast enough to be complete in time. The attempt timeout
+/// is one for the answer's beginning: another attempt would only fetch the same bytes again.
+bool Core::is_answer_arriving(RequestId id, const Open& open, int attempt) const {
+  const Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
+  if (!a.in_flight) return false;
+  std::optional<Micros> end = open.sender->expected_end(a.server, id, attempt);
+  return end && *end <= open.deadline;
+}
+
 void Core::queue_outcome(RequestId id, Open& open, int attempt, Status status,
                          AttemptResult* result, bool paused) {
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
@@ -336,7 +351,8 @@
   e.outcome.id = id;
   e.outcome.server = a.server;
   e.outcome.status = status;
-  e.outcome.latency = clock_.now() - a.sent;
+  // A long answer takes the time of its bytes, which tells nothing of the server's queue.
+  e.outcome.latency = (result && result->began_at > 0 ? result->began_at : clock_.now()) - a.sent;
   e.outcome.attempt = attempt;
   e.outcome.paused = paused;
   if (result) {
@@ -448,7 +464,10 @@
   if (attempt > 0) report_further_attempt(open, a.server);
   open.attempts.push_back({a.server, now});
   // The request may have been answered without the balancer knowing it yet.
-  if (open.answered || open.half_closed || now >= open.deadline) {
+  bool answer_is_arriving = false;
+  for (int k = 0; k < attempt && !answer_is_arriving; ++k)
+    answer_is_arriving = is_answer_arriving(a.id, open, k);
+  if (open.answered || open.half_closed || now >= open.deadline || answer_is_arriving) {
     open.attempts.back().sender_owes_end = false;
     queue_outcome(a.id, open, attempt, Status::NotSent, nullptr);
     return;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -51,6 +51,11 @@
   /// Withdraws an attempt that its server has not received in full, so that it never runs. Returns
   /// false, and lets the attempt continue, if it is too late or would disturb other attempts.
   virtual bool withdraw(const std::string&, RequestId, int, Withdrawal) { return false; }
+  /// When the answer to the attempt will be complete if the rest arrives as fast as what has come.
+  /// Nothing while no value is arriving for it.
+  virtual std::optional<Micros> expected_end(const std::string&, RequestId, int) const {
+    return std::nullopt;
+  }
   /// Whether every server that an attempt may reach receives the write's idempotency key.
   virtual bool supports_idempotency_key(const Request& request) const = 0;
   /// True if the caller of the router sends the attempts itself and is only told the server. Such
@@ -256,6 +261,7 @@
   void apply(const robinseam::Probe&) {
   }  // the balancer sends no probes: the router does not allow them
   void expire(RequestId id, int attempt);
+  bool is_answer_arriving(RequestId id, const Open& open, int attempt) const;
   void end_key_window(RequestId id, int attempt);
   bool withdraw(RequestId id, Open& open, int attempt, AttemptSender::Withdrawal how);
   std::string make_id();
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -43,6 +43,7 @@
   std::shared_ptr<ValuePipe> pipe;  ///< instead of `value` for a large value that is still arriving
   std::string receipt;              ///< of a successful write
   std::uint32_t flags = 0;
+  Micros began_at = 0;   ///< when its first bytes arrived; 0: with its last ones
   int cache_result = 0;  ///< 1 hit, 2 miss, 3 miss with a fetch in flight, 0 unknown
   std::vector<double>
       report;  ///< load report, in the order of the settings' fields; NaN if missing
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -67,6 +67,11 @@
 
   bool in_answer() const override { return reader_.in_answer(); }
   bool ends_early() const override { return reader_.ends_early(); }
+  std::optional<Progress> progress(const ExpectedAnswer& next) const override {
+    auto value = reader_.partial_value();
+    if (!value || value->id != next.id_or_key) return std::nullopt;
+    return Progress{value->received, value->missing};
+  }
   bool is_other_protocol(unsigned char first) const override {
     return first == binary::kResponseMagic;
   }
@@ -162,6 +167,11 @@
   }
 
   bool in_answer() const override { return reader_.in_answer(); }
+  std::optional<Progress> progress(const ExpectedAnswer& next) const override {
+    auto body = reader_.partial_body();
+    if (!body || body->opaque != next.opaque) return std::nullopt;
+    return Progress{body->received, body->missing};
+  }
   bool is_other_protocol(unsigned char first) const override {
     return first >= 'A' && first <= 'Z';  // every meta answer starts with a capital letter
   }
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,11 @@
   virtual bool in_answer() const = 0;
   /// True while the bytes received of a value end with a line end, before its announced length.
   virtual bool ends_early() const { return false; }
+  /// How much of the value for `next` has arrived. Nothing while none is arriving.
+  struct Progress {
+    std::size_t received, missing;  ///< bytes
+  };
+  virtual std::optional<Progress> progress(const ExpectedAnswer& next) const = 0;
   /// Whether `first`, the first byte received on a connection, belongs to the other protocol.
   virtual bool is_other_protocol(unsigned char first) const = 0;
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -257,7 +257,10 @@
     }
     ServerCodec::Parsed parsed =
         codec_->parse(in, written_count_ > 0 ? &pending_.front().expected : nullptr, answer);
-    if (parsed == ServerCodec::Parsed::Incomplete) break;
+    if (parsed == ServerCodec::Parsed::Incomplete) {
+      if (answer_began_at_ == 0 && codec_->in_answer()) answer_began_at_ = last_used_at_;
+      break;
+    }
     // After malformed or unsolicited bytes the two sides no longer agree on which answer belongs to
     // which command, so nothing more from this connection can be trusted.
     if (parsed == ServerCodec::Parsed::Invalid) {
@@ -285,6 +288,7 @@
     close_malformed();
     return false;
   }
+  answer.result.began_at = std::exchange(answer_began_at_, 0);
   PendingAttempt done = std::move(pending_.front());
   pending_.pop_front();
   --written_count_;
@@ -312,6 +316,15 @@
   return follows_closely && pending_.front().expected.write;
 }
 
+std::optional<Micros> ServerConnection::expected_end() const {
+  auto progress = codec_->progress(pending_.front().expected);
+  if (!progress || progress->received == 0) return std::nullopt;
+  Micros now = side_.clock_.now();
+  double elapsed = static_cast<double>(std::max<Micros>(1, now - answer_began_at_));
+  double share = static_cast<double>(progress->missing) / static_cast<double>(progress->received);
+  return now + static_cast<Micros>(elapsed * share);
+}
+
 void ServerConnection::close_malformed() {
   ++side_.counts_.malformed_answers;
   side_.close(*this, Status::Malformed);
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -87,6 +88,9 @@
   /// it may be a duplicate of it.
   bool may_be_duplicate(const ServerCodec::Answer& answer);
 
+  /// When the value that is arriving for the first pending attempt will be complete at its present
+  /// rate; nothing if none is arriving.
+  std::optional<Micros> expected_end() const;
   void close_malformed();
 
   /// True if the server has closed or reset the connection, or sent bytes that were not asked for.
@@ -103,6 +107,7 @@
   bool close_on_flush_ = false;         // close in the next flush if no attempt is pending
   bool has_received_ = false;           // any bytes
   bool has_answered_ = false;           // a complete answer
+  Micros answer_began_at_ = 0;          // first bytes of the answer that is arriving; 0: none
   Micros unidentified_answer_at_ = 0;   // last answer without an id; 0: none
   std::deque<PendingAttempt> pending_;  // in the order of their answers
   std::size_t written_count_ = 0;       // of pending_, from the front: completely written
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -402,6 +402,18 @@
   return false;
 }
 
+std::optional<Micros> ServerSide::expected_end(const std::string& server, RequestId id,
+                                               int attempt) const {
+  auto it = pools_.find(server);
+  if (it == pools_.end()) return std::nullopt;
+  for (const auto& c : it->second->connections) {
+    if (c->pending_.empty()) continue;
+    const ServerConnection::PendingAttempt& head = c->pending_.front();
+    if (head.awaited && head.id == id && head.attempt == attempt) return c->expected_end();
+  }
+  return std::nullopt;
+}
+
 Status ServerSide::cancel(const std::string& server, RequestId id, int attempt) {
   auto it = pools_.find(server);
   if (it == pools_.end()) return Status::Cancelled;
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -75,6 +75,8 @@
   /// Withdrawing an attempt that is partly written closes its connection. Unless it is required,
   /// this is done only if no attempt that may have started is awaited there.
   bool withdraw(const std::string& server, RequestId id, int attempt, Withdrawal how) override;
+  std::optional<Micros> expected_end(const std::string& server, RequestId id,
+                                     int attempt) const override;
   /// The binary protocol has no field for an idempotency key, so false while a listed server speaks
   /// it. If those servers take the CAS as the key (`server_idempotency`), keys that a CAS can
   /// represent are kept.
--- a/src/protocol/binary.hpp
+++ b/src/protocol/binary.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -104,6 +105,15 @@
   ParseResult parse(std::string_view& in, Answer& answer);
   /// True while a packet is incomplete.
   bool in_answer() const { return !partial_.empty() || in_body_; }
+  /// The body that is arriving; null between bodies.
+  struct PartialBody {
+    std::uint32_t opaque;
+    std::size_t received, missing;  ///< bytes
+  };
+  std::optional<PartialBody> partial_body() const {
+    if (!in_body_) return std::nullopt;
+    return PartialBody{pending_.opaque, partial_.size(), bytes_needed_ - partial_.size()};
+  }
 
  private:
   bool parse_header();
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -96,6 +96,15 @@
   bool in_answer() const { return !partial_.empty() || state_ != State::Line; }
   /// True if a value is incomplete but the bytes so far end like a complete one.
   bool ends_early() const;
+  /// The value that is arriving; null between values.
+  struct PartialValue {
+    const std::string& id;
+    std::size_t received, missing;  ///< bytes, without its CRLF where that matters little
+  };
+  std::optional<PartialValue> partial_value() const {
+    if (state_ != State::Value) return std::nullopt;
+    return PartialValue{pending_.id, pending_.value.size(), bytes_needed_};
+  }
 
  private:
   enum class State { Line, Value };
