--- a/include/robinseam/balancer.hpp
+++ b/include/robinseam/balancer.hpp
@@ -164,6 +164,8 @@
   int attempt = 0;
   int cache_result = 0;  ///< 0 unknown, 1 hit, 2 miss, 3 miss while a fetch was already in flight
   std::vector<double> report;  ///< as in Settings::report_fields; may be empty or shorter
+  /// Its answer was arriving when it was given up: slow, but no sign of overload.
+  bool answering = false;
   /// No client is waiting for a further attempt; on_resume() reports when one is again.
   bool paused = false;
 };
@@ -173,8 +175,8 @@
   RequestId id;
   std::string server;
   Micros timeout;  ///< 0 = until the client gives up
-  /// For a further attempt of a Keyed write: its bytes may be written only this long from now, since
-  /// after that servers may run it again. 0 = as long as the client waits.
+  /// For a further attempt of a Keyed write: its bytes may be written only this long from now,
+  /// since after that servers may run it again. 0 = as long as the client waits.
   Micros valid_for = 0;
 };
 /// Final answer: retrying is harmless.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -264,20 +264,33 @@
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
   a.sender_owes_end = false;
   if (status == Status::Miss && !cache_aside_) status = Status::Error;
-  if (status == Status::Ok && !open.answered) {
-    Reply reply;
-    reply.kind = Reply::Kind::Served;
-    reply.value = std::move(result.value);
-    reply.pipe = std::move(result.pipe);
-    reply.receipt = std::move(result.receipt);
-    reply.flags = result.flags;
-    give_reply(open, std::move(reply));
-  }
+  if (status == Status::Ok && !open.answered) give_reply(open, reply_of(open, std::move(result)));
   if (a.in_flight) queue_outcome(id, open, attempt, status, &result, paused);
   if (open.half_closed) answer_half_closed(open);
   erase_if_done(id);
 }
 
+Reply Core::reply_of(const Open& open, AttemptResult&& result) const {
+  Reply reply;
+  if (result.value_dropped) {
+    const robinseam::ClassSettings* type = find_class(open.request.class_name);
+    bool repeatable = type && type->effect == robinseam::Effect::Repeatable;
+    reply.kind = repeatable ? Reply::Kind::Refused : Reply::Kind::Failed;
+    return reply;
+  }
+  reply.kind = Reply::Kind::Served;
+  reply.value = std::move(result.value);
+  reply.pipe = std::move(result.pipe);
+  reply.receipt = std::move(result.receipt);
+  reply.flags = result.flags;
+  return reply;
+}
+
+bool Core::client_has_backlog(RequestId id) const {
+  auto it = open_.find(id);
+  return it != open_.end() && it->second.sink && it->second.sink->has_backlog();
+}
+
 /// Runs when an attempt's timeout or, with kRequestDeadline, the request's deadline has passed.
 /// kReplyGuard makes sure that the client gets a reply whatever happened.
 void Core::expire(RequestId id, int attempt) {
@@ -303,6 +316,7 @@
     Attempt& a = open.attempts[k];
     if (!a.in_flight || (attempt >= 0 && static_cast<int>(k) != attempt)) continue;
     Status status;
+    bool answering = open.sender->expected_end(a.server, id, static_cast<int>(k)).has_value();
     if (attempt >= 0 && !may_hedge_) {
       std::optional<Status> ended = open.sender->stop_for_retry(a.server, id, attempt);
       if (!ended) {  // still in flight, so that no other attempt may follow
@@ -319,7 +333,7 @@
                   unreached                   ? Status::ConnectFailed
                   : status == Status::NotSent ? Status::NotSent
                                               : Status::Timeout,
-                  nullptr);
+                  nullptr, false, answering);
   }
   if (attempt == kRequestDeadline && !open.answered)
     set_timer(clock_.now() + kReplyGuardDelay, TimerKind::Expiry, id, kReplyGuard);
@@ -336,7 +350,7 @@
 }
 
 void Core::queue_outcome(RequestId id, Open& open, int attempt, Status status,
-                         AttemptResult* result, bool paused) {
+                         AttemptResult* result, bool paused, bool answering) {
   Attempt& a = open.attempts[static_cast<std::size_t>(attempt)];
   a.in_flight = false;
   a.end = status;
@@ -355,6 +369,7 @@
   e.outcome.latency = (result && result->began_at > 0 ? result->began_at : clock_.now()) - a.sent;
   e.outcome.attempt = attempt;
   e.outcome.paused = paused;
+  e.outcome.answering = answering;
   if (result) {
     counts_.hits += result->cache_result == 1;
     counts_.misses += result->cache_result > 1;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -23,6 +23,8 @@
 class ReplySink {
  public:
   virtual void on_reply(const Request& request, Reply&& reply) = 0;
+  /// Whether its client has other answers to take before this one.
+  virtual bool has_backlog() const { return false; }
 
  protected:
   ~ReplySink() = default;
@@ -156,6 +158,8 @@
   /// Time of the first timer, by which process_events() must be called; 0 if no timer is set.
   Micros next_timer() const { return timers_.empty() ? 0 : timers_.top().at; }
 
+  /// Whether the request's client has other answers to take before its own.
+  bool client_has_backlog(RequestId id) const;
   const robinseam::ClassSettings* find_class(const std::string& name) const;
   Micros longest_deadline() const { return longest_deadline_; }
   std::size_t open_requests() const { return open_.size(); }
@@ -268,13 +272,14 @@
   void erase(std::unordered_map<RequestId, Open>::iterator request);
   Counts::Replies* replies_of(const std::string& class_name);
   void give_reply(Open& open, Reply&& reply);
+  Reply reply_of(const Open& open, AttemptResult&& result) const;
   void withdraw_unsent(RequestId id, Open& open);
   static Reply reply_without_further_attempts(const Open& open);
   bool is_too_late(Micros now, Micros time_left,
                    const robinseam::ClassSettings& request_class) const;
   void answer_half_closed(Open& open);
   void queue_outcome(RequestId id, Open& open, int attempt, Status status, AttemptResult* result,
-                     bool paused = false);
+                     bool paused = false, bool answering = false);
   void erase_if_done(RequestId id);
 
   const TimeSource& clock_;
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -41,6 +41,7 @@
 struct AttemptResult {
   std::string value;                ///< of a successful read
   std::shared_ptr<ValuePipe> pipe;  ///< instead of `value` for a large value that is still arriving
+  bool value_dropped = false;       ///< a successful read whose value found no room
   std::string receipt;              ///< of a successful write
   std::uint32_t flags = 0;
   Micros began_at = 0;   ///< when its first bytes arrived; 0: with its last ones
--- a/src/limits/memory_account.hpp
+++ b/src/limits/memory_account.hpp
@@ -1,5 +1,5 @@
-// One account of the bytes that the router holds for its peers: commands in part and whole, answers,
-// values passed on, and what servers have sent. No I/O.
+// One account of the bytes that the router holds for its peers: commands in part and whole,
+// answers, values passed on, and what servers have sent. No I/O.
 #pragma once
 
 #include <cstddef>
@@ -8,8 +8,8 @@
 namespace robinseam::limits {
 
 /// Whoever holds bytes for a peer reserves them here first. What does not fit stays unread with the
-/// peer, or is refused. Reservations have one of three priorities, so that those who hold a lot leave
-/// room for those who hold little.
+/// peer, or is refused. Reservations have one of three priorities, so that those who hold a lot
+/// leave room for those who hold little.
 class MemoryAccount {
  public:
   enum class Priority {
--- a/src/net/client_codec.cpp
+++ b/src/net/client_codec.cpp
@@ -40,10 +40,18 @@
 /// wait on the same connection.
 ClientCodec::ParseResult MetaClientCodec::parse(std::string_view& in, ParsedCommand& parsed) {
   Command command;
+  ParseResult result = ParseResult::Request;
+  parsed.rejected = true;
   switch (reader_.parse(in, command)) {
     case CommandReader::ParseResult::Incomplete:
       return ParseResult::Incomplete;
+    case CommandReader::ParseResult::ValueBegins:
+      return ParseResult::ValueBegins;
+    case CommandReader::ParseResult::Refused:
+      result = ParseResult::Refused;
+      break;
     case CommandReader::ParseResult::Noop:
+      parsed.rejected = false;
       parsed.answer = operator_drain_ ? "SERVER_ERROR draining\r\n" : "MN\r\n";
       return ParseResult::Answer;
     case CommandReader::ParseResult::Unknown:
@@ -79,7 +87,7 @@
   r.wants_flags = command.wants_flags;
   r.line_before_deadline = std::move(command.line_before_deadline);
   r.line_after_deadline = std::move(command.line_after_deadline);
-  return ParseResult::Request;
+  return result;
 }
 
 std::string MetaClientCodec::rejection(const CommandTag&, Core::SubmitResult why) const {
@@ -115,9 +123,17 @@
   binary::Command command;
   auto result = reader_.parse(in, command);
   if (result == binary::CommandReader::ParseResult::Incomplete) return ParseResult::Incomplete;
+  if (result == binary::CommandReader::ParseResult::ValueBegins) return ParseResult::ValueBegins;
   parsed.tag = {command.opcode, command.opaque};
-  awaits_barrier_ =
-      result == binary::CommandReader::ParseResult::Command && binary::is_quiet(command.opcode);
+  parsed.rejected = true;
+  bool refused = result == binary::CommandReader::ParseResult::Refused;
+  bool complete = refused || result == binary::CommandReader::ParseResult::Command;
+  awaits_barrier_ = complete && binary::is_quiet(command.opcode);
+  if (refused) {
+    parsed.request = Request();
+    parsed.request.class_name = rules_.write_class;
+    return ParseResult::Refused;
+  }
   if (result != binary::CommandReader::ParseResult::Command) {
     parsed.answer = binary::response(command.opcode, reader_.rejection_status(), command.opaque);
     return result == binary::CommandReader::ParseResult::FramingLost ? ParseResult::FinalAnswer
@@ -126,6 +142,7 @@
   if (binary::is_read(command.opcode) || binary::is_write(command.opcode))
     return make_request(command, parsed);
   parsed.answer.clear();
+  parsed.rejected = false;
   switch (command.opcode) {
     case binary::Opcode::QuitQ:
       return ParseResult::FinalAnswer;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -15,6 +15,27 @@
 // Bytes of one connection's commands and answers, including answers that wait for a slow reader;
 // beyond, it is not read. Any single command and its answer fit.
 constexpr std::size_t kMaxHeldBytes = 2 * (kMaxValue + kMaxLine);
+// Commands of a connection that wait for their answers while it may have been left; they are only
+// refused.
+constexpr std::size_t kMaxRefusedCommands = 1024;
+// What a request takes beside its line and value: its state here, in the core, in the decision
+// module and in its attempt.
+constexpr std::size_t kRequestStateBytes = 1024;
+// Values of up to this size are always read.
+constexpr std::size_t kSmallValueBytes = 4096;
+// Bytes read ahead of what may be parsed, so that a client's close behind them is seen; with little
+// memory left, room for a command's line.
+constexpr std::size_t kMaxReadAheadBytes = 256u << 10, kMinReadAheadBytes = kMaxLine;
+// With so many unread bytes the system may have closed the receive window, and the client's end of
+// stream is not announced.
+constexpr int kHidingBytes = 16 << 10;
+// After the receive window was full, the client's system takes a moment to send what it held back.
+constexpr Micros kWindowOpeningTime = 10 * kMillisecond;
+// Nothing is begun for a client whose close has had this long to go unseen: with the interval of
+// the checks and the core's own delay that leaves most of the 0.1 s that STANDING allows.
+constexpr Micros kMaxUnseenTime = 20 * kMillisecond;
+// Answers are moved to the output up to this size.
+constexpr std::size_t kMaxOutputBytes = 64u << 10;
 // Output buffers larger than this are freed when empty.
 constexpr std::size_t kMaxIdleOutputBytes = 32u << 10;
 // A command's line must be complete this long after its first byte, and a connection's first line
@@ -43,20 +64,27 @@
 }  // namespace
 
 ClientConnection::ClientConnection(ClientSide& side, Fd fd, bool over_limit)
-    : side_(side), fd_(std::move(fd)), over_limit_(over_limit), since_(side.clock_.now()) {
+    : side_(side),
+      fd_(std::move(fd)),
+      input_charge_(side.memory_),
+      value_charge_(side.memory_),
+      over_limit_(over_limit),
+      since_(side.clock_.now()) {
   read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
   write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
   event_add(read_.get(), nullptr);
 }
 
 ClientConnection::~ClientConnection() {
+  slots_.clear();
   release_bytes(held_bytes_);
-  side_.bulk_bytes_ -= bulk_;
+  side_.release_bulk(bulk_);
 }
 
 void ClientConnection::on_event(evutil_socket_t, short what, void* self) {
   auto* c = static_cast<ClientConnection*>(self);
   if (c->closed_) return;
+  c->commands_left_this_turn_ = kCommandsPerTurn;
   if (what & EV_WRITE) c->side_.mark_dirty(*c);
   if (what & EV_READ) c->read();
 }
@@ -72,49 +100,97 @@
 }
 
 void ClientConnection::check_for_disconnect() {
-  if (reading_ || closed_ || eof_ || disconnect_seen_ || lingering_) return;
+  if (!close_may_be_unseen() || closed_ || eof_ || disconnect_seen_ || lingering_) return;
+  look_for_close();
+  if (closed_ || disconnect_seen_) return;
+  if (may_have_left(side_.clock_.now()) && !std::exchange(unseen_reported_, true))
+    notify_client_left();
+  continue_parsing();
+}
+
+void ClientConnection::look_for_close() {
   pollfd p{fd_.get(), POLLRDHUP, 0};
-  if (::poll(&p, 1, 0) <= 0) return;
-  if (p.revents & (POLLERR | POLLHUP)) {
-    side_.close(*this, CloseReason::Reset);
-    return;
+  if (::poll(&p, 1, 0) > 0) {
+    if (p.revents & (POLLERR | POLLHUP)) {
+      side_.close(*this, CloseReason::Reset);
+      return;
+    }
+    if (p.revents & POLLRDHUP) {
+      disconnect_seen_ = true;
+      notify_client_left();
+      return;
+    }
+  }
+  int unread = 0;
+  Micros now = side_.clock_.now();
+  if (::ioctl(fd_.get(), FIONREAD, &unread) == 0 && unread >= kHidingBytes) {
+    window_full_at_ = now;
+    if (unseen_since_ == 0) unseen_since_ = now;
+  } else if (now - window_full_at_ >= kWindowOpeningTime) {
+    unseen_since_ = 0;
+    unseen_reported_ = false;
   }
-  if (!(p.revents & POLLRDHUP)) return;
-  disconnect_seen_ = true;
-  notify_client_left();
 }
 
-void ClientConnection::read() {
-  ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), kReadBufferBytes, 0);
+bool ClientConnection::may_have_left(Micros now) const {
+  return unseen_since_ > 0 && now - unseen_since_ >= kMaxUnseenTime;
+}
+
+std::size_t ClientConnection::read_limit() const {
+  using Priority = robinseam::limits::MemoryAccount::Priority;
+  if (unparsed_input_.empty() && (value_charge_.bytes() > 0 || bulk_ > 0)) return kReadBufferBytes;
+  std::size_t ahead = side_.memory_.has_room(kMaxReadAheadBytes, Priority::ReadAhead)
+                          ? kMaxReadAheadBytes
+                          : kMinReadAheadBytes;
+  return unparsed_input_.size() >= ahead
+             ? 0
+             : std::min(kReadBufferBytes, ahead - unparsed_input_.size());
+}
+
+ClientConnection::ReadResult ClientConnection::receive(std::size_t most, std::string_view& in) {
+  ssize_t got = ::recv(fd_.get(), side_.scratch_.get(), most, 0);
   if (got < 0) {
-    if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return;
+    if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return ReadResult::None;
     side_.close(*this, CloseReason::Reset);
-    return;
+    return ReadResult::None;
   }
   if (lingering_) {  // input after our FIN is dropped
     lingered_ += static_cast<std::size_t>(got);
     if (got == 0 || (lingered_ > kLingerBytes && !unacknowledged()) || lingered_ > kMaxLingerBytes)
       side_.close(*this, CloseReason::ClientLeft);
-    return;
+    return ReadResult::None;
   }
   if (got == 0) {
     end_of_input();
-    return;
+    return ReadResult::None;
   }
   received_any_ = true;
   last_read_at_ = side_.clock_.now();
   if (!in_command()) since_ = last_read_at_;
-  std::string_view in(side_.scratch_.get(), static_cast<std::size_t>(got));
+  in = std::string_view(side_.scratch_.get(), static_cast<std::size_t>(got));
+  return ReadResult::Bytes;
+}
+
+void ClientConnection::read() {
+  std::size_t most = lingering_ ? kReadBufferBytes : read_limit();
+  std::string_view in;
+  if (most == 0 || receive(most, in) != ReadResult::Bytes) return;
   if (unparsed_input_.empty()) {
     parse(in);
-    unparsed_input_.assign(in);
+    buffer_input(in);
   } else {
-    unparsed_input_.append(in);
+    buffer_input(in);
     parse_buffered();
   }
   update_reading();
 }
 
+void ClientConnection::buffer_input(std::string_view in) {
+  if (in.empty()) return;
+  unparsed_input_.append(in);
+  input_charge_.set(unparsed_input_.capacity());
+}
+
 void ClientConnection::choose_codec(unsigned char first) {
   if (side_.rules_.clients && first == binary::kRequestMagic) {
     ++side_.counts_.binary;
@@ -129,10 +205,16 @@
 void ClientConnection::parse(std::string_view& in) {
   if (!codec_ && !in.empty()) choose_codec(static_cast<unsigned char>(in.front()));
   ClientCodec::ParsedCommand parsed;
-  while (!broken_ && !closed_ && !in.empty() && may_parse()) {
+  while (!broken_ && !closed_ && !in.empty() && may_parse(side_.clock_.now())) {
     auto got = codec_->parse(in, parsed);
     if (got == ClientCodec::ParseResult::Incomplete) break;
+    if (got == ClientCodec::ParseResult::ValueBegins) {
+      if (reserve_value()) continue;
+      break;
+    }
+    --commands_left_this_turn_;
     since_ = side_.clock_.now();  // the next command begins
+    value_charge_.set(0);
     ClientSlot& slot = add_slot();
     slot.bulk = std::exchange(bulk_, 0);
     slot.tag = parsed.tag;
@@ -140,67 +222,132 @@
       submit(slot, std::move(parsed.request));
       continue;
     }
+    if (got == ClientCodec::ParseResult::Refused) {
+      side_.core_.record_refused(parsed.request.class_name);
+      waited_for_memory_ = 0;
+      answer_unserved(slot, codec_->rejection(slot.tag, Core::SubmitResult::TableFull));
+      continue;
+    }
     broken_ = got == ClientCodec::ParseResult::FinalAnswer;
+    if (parsed.rejected) pace_.record_unserved();
     side_.answer(slot, std::move(parsed.answer));
   }
   if (broken_) in = {};
+  if (commands_left_this_turn_ <= 0 && !in.empty()) side_.continue_next_turn(*this);
 }
 
 void ClientConnection::submit(ClientSlot& slot, Request&& request) {
-  slot.bytes = request.line_before_deadline.size() + request.line_after_deadline.size() +
-               (request.value && slot.bulk == 0 ? request.value->size() : 0);
-  if (request.line_before_deadline.empty()) slot.bytes += binary::kHeader + request.key.size();
+  // The line is held by the request and, until it is written, by its attempt.
+  std::size_t line = request.line_before_deadline.size() + request.line_after_deadline.size();
+  if (line == 0) line = binary::kHeader + request.key.size();
+  slot.bytes =
+      kRequestStateBytes + 2 * line + (request.value && slot.bulk == 0 ? request.value->size() : 0);
   reserve_bytes(slot.bytes);
-  bool refused = over_limit_ || eof_ || disconnect_seen_;  // nothing new for a client that left
+  request.time_left -= std::min(request.time_left, std::exchange(waited_for_memory_, 0));
+  // Nothing new is begun for a client that has left.
+  bool refused = over_limit_ || eof_ || disconnect_seen_ || may_have_left(side_.clock_.now());
   if (refused) side_.core_.record_refused(request.class_name);
   Core::SubmitResult taken =
       refused ? Core::SubmitResult::TableFull
               : side_.core_.submit(std::move(request), slot, side_.attempt_sender_, slot.id);
-  if (taken != Core::SubmitResult::Accepted) side_.answer(slot, codec_->rejection(slot.tag, taken));
+  if (taken != Core::SubmitResult::Accepted)
+    answer_unserved(slot, codec_->rejection(slot.tag, taken));
 }
 
-bool ClientConnection::may_parse() const {
-  if (waits_for_bulk_ || value_truncated_) return false;
+void ClientConnection::answer_unserved(ClientSlot& slot, std::string text) {
+  pace_.record_unserved();
+  side_.answer(slot, std::move(text));
+}
+
+bool ClientConnection::may_parse(Micros now) {
+  using Priority = robinseam::limits::MemoryAccount::Priority;
+  if (waits_for_memory_ || value_truncated_) return false;
+  if (unseen_since_ > 0 && !eof_ && !disconnect_seen_) {
+    look_for_close();
+    bool settling = unseen_since_ > 0 && window_full_at_ < now;
+    if (closed_ || settling) return false;
+  }
+  // A client that has left, or a process that ends, gets its answers at once.
+  bool ending = eof_ || side_.phase_ == ClientSide::Phase::Finishing;
+  if (!ending && (commands_left_this_turn_ <= 0 || !pace_.allows(now))) return false;
   if (slots_.empty() && out_.empty()) return true;
-  return slots_.size() < kMaxPipelinedCommands && held_bytes_ < kMaxHeldBytes &&
-         side_.held_bytes_ < side_.limits_.held_bytes;
+  if (held_bytes_ >= kMaxHeldBytes || !side_.memory_.has_room(0, Priority::Backlog)) return false;
+  if (may_have_left(now)) return slots_.size() < kMaxRefusedCommands;
+  return slots_.size() < kMaxPipelinedCommands &&
+         side_.core_.open_requests() < side_.limits_.pipelined_requests;
+}
+
+void ClientConnection::continue_parsing() {
+  if (closed_ || lingering_) return;
+  commands_left_this_turn_ = kCommandsPerTurn;
+  if (!unparsed_input_.empty()) parse_buffered();
+  update_reading();
 }
 
 void ClientConnection::reserve_bytes(std::size_t bytes) {
   held_bytes_ += bytes;
-  side_.held_bytes_ += bytes;
+  side_.memory_.reserve(bytes);
 }
 
 void ClientConnection::release_bytes(std::size_t bytes) {
   held_bytes_ -= bytes;
-  side_.held_bytes_ -= bytes;
+  side_.memory_.release(bytes);
 }
 
 void ClientConnection::parse_buffered() {
+  if (unparsed_input_.empty()) return;
   std::string_view in = unparsed_input_;
   parse(in);
-  unparsed_input_.erase(0, unparsed_input_.size() - in.size());
+  if (in.empty())
+    std::string().swap(unparsed_input_);
+  else
+    unparsed_input_.erase(0, unparsed_input_.size() - in.size());
+  input_charge_.set(unparsed_input_.empty() ? 0 : unparsed_input_.capacity());
+}
+
+bool ClientConnection::reserve_value() {
+  std::size_t bytes = codec_->size_of_value_in_progress();
+  Micros now = side_.clock_.now();
+  if (try_reserve_value(bytes)) {
+    if (waits_since_ > 0) waited_for_memory_ = now - std::exchange(waits_since_, 0);
+    waits_for_memory_ = false;
+    return true;
+  }
+  if (waits_since_ == 0) waits_since_ = now;
+  waits_for_memory_ = true;
+  last_read_at_ = since_ = now;
+  return false;
+}
+
+bool ClientConnection::try_reserve_value(std::size_t bytes) {
+  using Priority = robinseam::limits::MemoryAccount::Priority;
+  Priority priority = slots_.empty() && out_.empty() ? Priority::First : Priority::Backlog;
+  if (bytes > kMaxValue + kMaxLine) return (bulk_ = side_.try_reserve_bulk(bytes)) > 0;
+  if (bytes > kSmallValueBytes) return value_charge_.try_set(bytes, priority);
+  value_charge_.set(bytes);
+  return true;
 }
 
-void ClientConnection::reserve_bulk() {
-  std::size_t need = codec_ ? codec_->size_of_value_in_progress() : 0;
-  waits_for_bulk_ = false;
-  if (need <= kMaxValue + 2 || bulk_ > 0) return;
-  if (side_.bulk_bytes_ > 0 && side_.bulk_bytes_ + need > side_.limits_.bulk_bytes) {
-    waits_for_bulk_ = true;
-    last_read_at_ = since_ = side_.clock_.now();
-    return;
-  }
-  bulk_ = need;
-  side_.bulk_bytes_ += need;
+void ClientConnection::refuse_overdue_value(Micros now) {
+  // Half of its time: if its bytes were all there when the wait began, the rest is for the answer.
+  if (!waits_for_memory_ || now - waits_since_ < codec_->time_left_in_progress() / 2) return;
+  refuse_value();
+}
+
+void ClientConnection::refuse_value() {
+  codec_->refuse_value();
+  value_charge_.set(0);
+  side_.release_bulk(std::exchange(bulk_, 0));
+  waits_for_memory_ = false;
+  waits_since_ = 0;
 }
 
 void ClientConnection::end_of_input() {
   eof_ = true;
   event_del(read_.get());
   notify_client_left();
-  if (!waits_for_bulk_) parse_buffered();
-  if (waits_for_bulk_) unparsed_input_.clear();
+  if (waits_for_memory_) refuse_value();
+  parse_buffered();
   if (slots_.empty() && out_.empty() && unparsed_input_.empty())
     side_.close(*this, CloseReason::ClientLeft);
 }
@@ -213,6 +360,7 @@
 ClientSlot& ClientConnection::add_slot() {
   slots_.emplace_back();
   slots_.back().connection = this;
+  reserve_bytes(sizeof(ClientSlot));
   return slots_.back();
 }
 
@@ -220,8 +368,12 @@
   while (!slots_.empty() && slots_.front().done && !value_truncated_) {
     ClientSlot& slot = slots_.front();
     bool unbegun = !slot.text.empty();
+    if (unbegun && out_.size() - out_at_ >= kMaxOutputBytes) return;
     if (unbegun && slot.pipe && slot.pipe->failed()) replace_value_by_failure(slot);
-    out_ += std::exchange(slot.text, {});
+    if (out_.empty())
+      out_ = std::exchange(slot.text, {});
+    else
+      out_ += std::exchange(slot.text, {});
     if (ValuePipe* pipe = slot.pipe.get()) {
       while (out_.size() - out_at_ < pipe->window()) {
         std::string bytes = pipe->take();
@@ -302,7 +454,7 @@
     hand_over_or_close();
     return true;
   }
-  bool all_parsed = unparsed_input_.empty() || waits_for_bulk_;
+  bool all_parsed = unparsed_input_.empty() || waits_for_memory_;
   if (side_.phase_ != ClientSide::Phase::Finishing || !all_parsed) return false;
   finish(CloseReason::Draining);  // half a command
   return true;
@@ -343,8 +495,7 @@
 
 void ClientConnection::update_reading() {
   if (closed_ || eof_ || lingering_) return;
-  reserve_bulk();
-  bool want = unparsed_input_.empty() && !broken_ && may_parse();
+  bool want = !broken_ && !value_truncated_ && read_limit() > 0;
   // In a shutdown, commands under way are answered and no more are read: later input is for the
   // next process, or crosses our close.
   if (side_.shutting_down() && !slots_.empty() && between_requests()) want = false;
@@ -356,8 +507,8 @@
 }
 
 void ClientConnection::sweep(Micros now) {
-  if (!unparsed_input_.empty() && !waits_for_bulk_) parse_buffered();  // limits may have freed up
-  update_reading();
+  if (waits_for_memory_ && !lingering_ && !reserve_value()) refuse_overdue_value(now);
+  continue_parsing();  // limits may have freed up
   if (closed_) return;
   if (side_.closing() && has_no_work() && between_requests() && !lingering_ &&
       !side_.shutting_down() &&
@@ -399,7 +550,12 @@
   }
 }
 
+bool ClientSlot::has_backlog() const {
+  return !connection->out_.empty() || &connection->slots_.front() != this;
+}
+
 void ClientSlot::on_reply(const Request& request, Reply&& reply) {
+  if (reply.kind != Reply::Kind::Served) connection->pace_.record_unserved();
   std::shared_ptr<ValuePipe> pipe = reply.pipe;
   connection->side_.answer(*this, connection->codec_->reply(tag, request, std::move(reply)),
                            std::move(pipe));
@@ -408,7 +564,8 @@
 ClientSlot::~ClientSlot() {
   ClientSide& side = connection->side_;
   if (id && !done) side.core_.on_client_gone(id);
-  side.bulk_bytes_ -= bulk;
+  side.release_bulk(bulk);
+  connection->release_bytes(sizeof(ClientSlot));
   release_pipe();
 }
 
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -1,11 +1,14 @@
 // One client connection: what it has read, its commands in order, and what it still has to write.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "../limits/answer_pace.hpp"
+#include "../limits/memory_account.hpp"
 #include "client_side.hpp"
 
 namespace arrowfork {
@@ -14,6 +17,8 @@
 class ClientConnection {
  public:
   static constexpr std::size_t kReadBufferBytes = 64u << 10;  ///< read at most at once
+  /// Commands that one connection may have handled before others have their turn.
+  static constexpr int kCommandsPerTurn = 64;
   /// A client that accepts no byte of its answer for this long is disconnected. Slow readers of
   /// large values free only half a socket buffer at a time, so reading shows in steps of that size.
   static constexpr Micros kWriteStallTimeout = 5 * kSecond;
@@ -34,13 +39,32 @@
   /// an answer is owed afterwards.
   bool still_idle_after_read();
 
+  /// When it last sent or took something, or was connected.
+  Micros last_active_at() const { return std::max(since_, last_read_at_); }
+
   /// True while the client's machine has not acknowledged all written bytes.
   bool unacknowledged() const;
 
-  /// Detects that the client has closed its connection behind bytes that are not read yet.
+  /// Detects that the client has closed its connection, or may have, behind bytes that are not read
+  /// yet.
   void check_for_disconnect();
 
+  /// Whether look_for_close() could tell something that reading does not.
+  bool close_may_be_unseen() const { return !reading_ || unseen_since_ > 0; }
+  /// Asks the system whether the client has closed its connection, or whether that could be hidden.
+  void look_for_close();
+  /// Reads once, up to the bounds, and handles what was read.
   void read();
+  enum class ReadResult { Bytes, None };
+  /// Reads at most `most` bytes, to be handled, into `in`. None: nothing is to be done.
+  ReadResult receive(std::size_t most, std::string_view& in);
+  /// How many bytes may be read now.
+  std::size_t read_limit() const;
+  /// Appends to the bytes that wait to be parsed.
+  void buffer_input(std::string_view in);
+  /// True while the client may have closed its connection some time ago without this side seeing
+  /// it: nothing new is begun for it.
+  bool may_have_left(Micros now) const;
 
   /// The first byte decides the protocol for the whole connection.
   void choose_codec(unsigned char first);
@@ -49,18 +73,27 @@
   void parse(std::string_view& in);
 
   void submit(ClientSlot& slot, Request&& request);
+  /// Answers a command that was not served, which slows the client down if it goes on.
+  void answer_unserved(ClientSlot& slot, std::string text);
 
   /// Back-pressure: limits pending commands and answers, per client and for all clients together. A
-  /// connection with nothing pending is always read, so that none starves behind others.
-  bool may_parse() const;
+  /// connection with nothing pending may always have one, so that none starves behind others.
+  bool may_parse(Micros now);
+  /// Handles more buffered commands, in the next iteration of the loop or the sweep.
+  void continue_parsing();
 
   void reserve_bytes(std::size_t bytes);
   void release_bytes(std::size_t bytes);
 
   void parse_buffered();
 
-  /// Reserves bytes for a large value; the connection is not read further without them.
-  void reserve_bulk();
+  /// Reserves memory for the value whose head was just read; false if it has to wait.
+  bool reserve_value();
+  bool try_reserve_value(std::size_t bytes);
+  /// Refuses a value that has waited for memory for as long as its client's time allows.
+  void refuse_overdue_value(Micros now);
+  /// Drops the value in progress and what was reserved for it.
+  void refuse_value();
 
   /// A half-close cannot be told from a close, so no new work begins for the client. Requests that
   /// may be running are awaited and answered, the rest is refused. If the client is really gone,
@@ -113,20 +146,30 @@
   EventPtr read_, write_;
   std::unique_ptr<ClientCodec> codec_;  // null before the first byte
   std::deque<ClientSlot> slots_;
-  std::string unparsed_input_;  // bytes read but not parsed yet
+  std::string unparsed_input_;                    // bytes read but not parsed yet
+  robinseam::limits::MemoryCharge input_charge_;  // of unparsed_input_
+  robinseam::limits::MemoryCharge value_charge_;  // of a value in progress of up to kMaxValue
+  robinseam::limits::AnswerPace pace_;
+  int commands_left_this_turn_ = kCommandsPerTurn;
   std::string out_;
   std::size_t out_at_ = 0;
-  std::size_t held_bytes_ = 0;  // of slots_ and out_; also counted in ClientSide::held_bytes_
+  std::size_t held_bytes_ = 0;  // of slots_ and out_; also reserved in ClientSide::memory_
   std::size_t lingered_ = 0;
-  std::size_t bulk_ = 0;          // of the value being read; also in ClientSide::bulk_bytes_
-  bool waits_for_bulk_ = false;   // for bytes for a large value
+  std::size_t bulk_ = 0;           // of the value being read; also in ClientSide::bulk_bytes_
+  bool waits_for_memory_ = false;  // for a value whose head is read
+  Micros waits_since_ = 0;
+  Micros waited_for_memory_ = 0;  // by the command in progress, out of its client's time
   bool value_truncated_ = false;  // a streamed value ended early
   bool received_any_ = false;     // bytes were received, here or in the process before
   bool reading_ = true;
   bool eof_ = false;
   bool disconnect_seen_ = false;  // the client closed behind bytes that are not read yet
-  bool broken_ = false;           // framing lost: closes after the pending answers
-  bool over_limit_;               // commands are refused and the connection closed
+  Micros unseen_since_ = 0;       // bytes in the socket may hide the client's close; 0: they don't
+  Micros window_full_at_ = 0;     // when so many bytes were last seen
+  bool unseen_reported_ = false;  // to the core, as if the client had left
+  bool turn_scheduled_ = false;
+  bool broken_ = false;  // framing lost: closes after the pending answers
+  bool over_limit_;      // commands are refused and the connection closed
   bool lingering_ = false;
   bool dirty_ = false;
   bool closed_ = false;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -14,12 +15,18 @@
 namespace {
 
 // When the table is full, a connection may be evicted this long after its connect if it has sent
-// nothing, and this long after its last answer if the client has not closed it.
+// nothing, and this long after its last answer.
 constexpr Micros kEvictableAfter = kSecond / 10;
+// The same for one whose client has stopped in the middle of a command.
+constexpr Micros kStalledCommandTime = kSecond / 2;
+// A value of which nothing has arrived for this long is refused if others wait for its memory.
+constexpr Micros kStalledValueTime = kSecond / 4;
+// Smaller values are left alone: refusing them frees too little.
+constexpr std::size_t kMinRefusedValueBytes = 4096;
 // A client may have closed its connection behind bytes that are not read yet, so that the close is
 // not read either. Such connections are polled for it this often, which leaves most of the 0.1 s
 // after which no new work may begin for that client.
-constexpr Micros kDisconnectCheckInterval = 40 * kMillisecond;
+constexpr Micros kDisconnectCheckInterval = 20 * kMillisecond;
 // Also the longest wait of new connections once one in the table may be evicted.
 constexpr Micros kSweepInterval = kSecond / 10;
 // Operator drain: after this time the load balancer has probed `mn` again and sends no new
@@ -29,15 +36,18 @@
 }  // namespace
 
 ClientSide::ClientSide(event_base* base, const TimeSource& clock, Core& core,
-                       AttemptSender& attempt_sender, Limits limits)
+                       AttemptSender& attempt_sender, Limits limits,
+                       robinseam::limits::MemoryAccount& memory)
     : base_(base),
       clock_(clock),
       core_(core),
       attempt_sender_(attempt_sender),
       limits_(limits),
+      memory_(memory),
       scratch_(std::make_unique<char[]>(ClientConnection::kReadBufferBytes)) {
   disconnect_check_event_.reset(event_new(base, -1, 0, on_disconnect_check, this));
   sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
+  next_turn_event_.reset(event_new(base, -1, 0, on_next_turn, this));
   timeval every = timeval_of(kSweepInterval);
   event_add(sweep_event_.get(), &every);
 }
@@ -121,24 +131,31 @@
 }
 
 /// Evicts the oldest connection of the first kind that has one: lingering after its last answer,
-/// silent since its connect (both only after kEvictableAfter), idle after answers. Guards against
-/// floods of connections of any kind; at worst a slow client has to connect again.
+/// silent since its connect, stopped in the middle of its only command, idle after answers. Guards
+/// against floods of connections of any kind; at worst a slow client has to connect again.
 bool ClientSide::evict_connection() {
-  enum { kLingering, kSilent, kIdle, kKinds };
+  enum { kLingering, kSilent, kStalled, kIdle, kKinds };
   std::array<ClientConnection*, kKinds> oldest{};
   for (auto& c : connections_) {
-    if (!c->idle() && !c->lingering_) continue;  // lingering_: may hold half a command
+    bool stalled = c->in_command() && c->slots_.empty() && c->out_.empty();
+    if (!c->idle() && !c->lingering_ && !stalled) continue;  // lingering_: may hold half a command
     ClientConnection*& best = oldest[c->lingering_      ? kLingering
+                                     : stalled          ? kStalled
                                      : c->received_any_ ? kIdle
                                                         : kSilent];
-    if (!best || c->since_ < best->since_) best = c.get();
+    if (!best || c->last_active_at() < best->last_active_at()) best = c.get();
   }
   for (int kind = 0; kind < kKinds; ++kind) {
     ClientConnection* c = oldest[kind];
-    if (!c || (kind != kIdle && clock_.now() - c->since_ < kEvictableAfter)) continue;
+    Micros least = kind == kStalled ? kStalledCommandTime : kEvictableAfter;
+    if (!c || clock_.now() - c->last_active_at() < least) continue;
     if (kind == kLingering && c->unacknowledged() &&
         clock_.now() - c->since_ < ClientConnection::kWriteStallTimeout)
       continue;
+    if (kind == kStalled) {
+      close(*c, CloseReason::Evicted);
+      return true;
+    }
     if (kind != kLingering) {
       bool busy = !c->still_idle_after_read();
       if (!busy && c->unacknowledged()) c->finish(CloseReason::Evicted), busy = true;
@@ -168,7 +185,7 @@
   for (std::size_t k = side->connections_.size(); k-- > 0;) {
     if (k >= side->connections_.size()) continue;
     ClientConnection& c = *side->connections_[k];
-    unread |= !c.reading_;
+    unread |= c.close_may_be_unseen();
     c.check_for_disconnect();
   }
   if (unread) side->schedule_disconnect_check();
@@ -180,8 +197,63 @@
     if (k < connections_.size()) connections_[k]->shut_down();
 }
 
+std::size_t ClientSide::try_reserve_bulk(std::size_t bytes) {
+  using Priority = robinseam::limits::MemoryAccount::Priority;
+  // One is always taken: it fits whatever the others hold.
+  if (bulk_bytes_ > 0 &&
+      (bulk_bytes_ + bytes > limits_.bulk_bytes || !memory_.has_room(bytes, Priority::First)))
+    return 0;
+  bulk_bytes_ += bytes;
+  memory_.reserve(bytes);
+  return bytes;
+}
+
+void ClientSide::release_bulk(std::size_t bytes) {
+  bulk_bytes_ -= bytes;
+  memory_.release(bytes);
+}
+
+void ClientSide::refuse_stalled_values(Micros now) {
+  std::size_t wanted = 0;
+  std::vector<ClientConnection*> stalled;
+  for (auto& c : connections_) {
+    if (c->waits_for_memory_) wanted += c->codec_->size_of_value_in_progress();
+    bool holds = c->value_charge_.bytes() > kMinRefusedValueBytes || c->bulk_ > 0;
+    if (holds && now - c->last_read_at_ > kStalledValueTime) stalled.push_back(c.get());
+  }
+  if (wanted == 0) return;
+  std::sort(stalled.begin(), stalled.end(), [](const auto* one, const auto* other) {
+    return one->last_read_at_ < other->last_read_at_;
+  });
+  for (ClientConnection* c : stalled) {
+    std::size_t freed = c->value_charge_.bytes() + c->bulk_;
+    c->refuse_value();
+    if (freed >= wanted) return;
+    wanted -= freed;
+  }
+}
+
+void ClientSide::continue_next_turn(ClientConnection& c) {
+  if (std::exchange(c.turn_scheduled_, true)) return;
+  next_turn_.push_back(&c);
+  timeval now{0, 0};
+  if (next_turn_.size() == 1) event_add(next_turn_event_.get(), &now);
+}
+
+void ClientSide::on_next_turn(evutil_socket_t, short, void* self) {
+  auto* side = static_cast<ClientSide*>(self);
+  std::vector<ClientConnection*> turn;
+  turn.swap(side->next_turn_);
+  for (ClientConnection* c : turn) {
+    c->turn_scheduled_ = false;
+    c->continue_parsing();
+    side->mark_dirty(*c);
+  }
+}
+
 void ClientSide::sweep() {
   Micros now = clock_.now();
+  refuse_stalled_values(now);
   for (std::size_t k = connections_.size(); k-- > 0;)  // from the end: closing moves the last one
     if (k < connections_.size()) connections_[k]->sweep(now);
   if (accept_paused_ && !shutting_down() && !accepting_suspended_) {
@@ -210,6 +282,7 @@
   c.write_.reset();
   c.fd_.reset();
   std::size_t at = c.index_;
+  std::erase(next_turn_, &c);
   closed_.push_back(std::move(connections_[at]));
   if (at + 1 != connections_.size()) {
     connections_[at] = std::move(connections_.back());
@@ -220,7 +293,7 @@
 
 void ClientSide::answer(ClientSlot& slot, std::string text, std::shared_ptr<ValuePipe> pipe) {
   ClientConnection& c = *slot.connection;
-  bulk_bytes_ -= std::exchange(slot.bulk, 0);
+  release_bulk(std::exchange(slot.bulk, 0));
   if (pipe) {
     ++streaming_values_;
     pipe->on_readable([this, &c] { mark_dirty(c); });
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -11,6 +11,7 @@
 
 #include "../core/core.hpp"
 #include "../io/io.hpp"
+#include "../limits/memory_account.hpp"
 #include "client_codec.hpp"
 
 namespace arrowfork {
@@ -42,11 +43,13 @@
   std::string text;                 ///< answer bytes, held back until earlier answers are written
   std::shared_ptr<ValuePipe> pipe;  ///< streams the value behind `text`, if any
   std::size_t bulk = 0;             ///< bytes of a large value, counted against bulk_bytes
-  std::size_t bytes = 0;            ///< of the command, then of the answer; counted in held_bytes
-  bool done = false;                ///< the complete answer is in `text` and `pipe`
+  std::size_t bytes =
+      0;  ///< of the command, then of the answer; counted in held_bytes_ of the connection
+  bool done = false;  ///< the complete answer is in `text` and `pipe`
 
   ~ClientSlot();
   void on_reply(const Request& request, Reply&& reply) override;
+  bool has_backlog() const override;
   /// Ends the reading of the value that `pipe` streams, if any.
   void release_pipe();
 };
@@ -56,13 +59,15 @@
   struct Limits {
     std::size_t connections = 600;       ///< commands of connections beyond are refused as busy
     std::size_t spare_connections = 50;  ///< accepted beyond `connections`, to refuse commands
-    std::size_t held_bytes = 32u << 20;  ///< of commands and answers, all clients together
+    /// With so many requests open, a connection may have one at a time.
+    std::size_t pipelined_requests = 1000;
     std::size_t bulk_bytes = kMaxLargeValue;  ///< of values over kMaxValue that clients write
   };
 
   /// Passes requests to `core`, which sends their attempts through `attempt_sender`.
+  /// What clients make the router hold is reserved in `memory`.
   ClientSide(event_base* base, const TimeSource& clock, Core& core, AttemptSender& attempt_sender,
-             Limits limits);
+             Limits limits, robinseam::limits::MemoryAccount& memory);
   ~ClientSide();
 
   void set_limits(const Limits& limits) { limits_ = limits; }
@@ -136,6 +141,14 @@
   /// Closes the connection whose loss does least harm; false if all are in use.
   bool evict_connection();
   void sweep();
+  /// Reserves `bytes` for a large value; returns them, or 0 if it has to wait.
+  std::size_t try_reserve_bulk(std::size_t bytes);
+  void release_bulk(std::size_t bytes);
+  /// Refuses values that do not get on, if others wait for the memory they hold.
+  void refuse_stalled_values(Micros now);
+  /// Handles more of the connection's input in the next iteration of the loop.
+  void continue_next_turn(ClientConnection& connection);
+  static void on_next_turn(evutil_socket_t, short, void* self);
   /// Reads once from every connection that is being read.
   void read_pending_input();
   /// Schedules a check whether clients have closed connections that are not being read.
@@ -155,7 +168,7 @@
   BinaryRules rules_;
   StatsProvider stats_;
   Fd listener_;
-  EventPtr accept_event_, sweep_event_, disconnect_check_event_;
+  EventPtr accept_event_, sweep_event_, disconnect_check_event_, next_turn_event_;
   bool accept_paused_ = false;
   Phase phase_ = Phase::Serving;
   bool accepting_suspended_ = false;
@@ -164,8 +177,9 @@
   HandOver hand_over_;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // destroyed by the next flush()
-  std::vector<ClientConnection*> dirty_;
-  std::size_t held_bytes_ = 0, bulk_bytes_ = 0;
+  std::vector<ClientConnection*> dirty_, next_turn_;
+  robinseam::limits::MemoryAccount& memory_;
+  std::size_t bulk_bytes_ = 0;
   std::size_t streaming_values_ = 0;
   Counts counts_;
   std::unique_ptr<char[]> scratch_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -23,6 +23,8 @@
 // Memory per remembered request id of one time span: ids of two spans, about 100 bytes each, use a
 // fifth of the memory.
 constexpr std::size_t kMemoryPerIdBytes = 1024;
+// Memory of a client's connection and a command in part.
+constexpr std::size_t kMemoryPerClientBytes = 16u << 10;
 constexpr Micros kStopCheckInterval = 20 * kMillisecond;
 
 // The file of disabled servers is read, and the number of descriptors reported, this often: a
@@ -49,6 +51,11 @@
 
 std::size_t server_sockets(const Config& c) { return (c.sockets - kReservedSockets) / 3; }
 
+std::size_t max_open(const Config& c) {
+  return std::min<std::size_t>(c.memory_bytes / kOpenRequestBytes,
+                               static_cast<std::size_t>(c.connection_settings.max_open_requests));
+}
+
 ClientSide::Limits client_limits(const Config& c) {
   ClientSide::Limits l;
   l.spare_connections = std::min(kSpareClientConnections, c.sockets / 16);
@@ -56,11 +63,15 @@
   if (c.ext_proc) others += c.ext_proc->max_connections + 1;
   if (!c.control.empty()) others += ControlServer::kMaxConnections + 1;
   l.connections = c.sockets > others ? c.sockets - others : 1;
-  l.held_bytes = c.memory_bytes / 4;
+  l.connections = std::min(l.connections, c.memory_bytes / kMemoryPerClientBytes);
+  l.pipelined_requests = max_open(c) / 2;
   l.bulk_bytes = std::max(kMaxLargeValue, c.memory_bytes / 6);
   return l;
 }
 
+/// Bytes that may be held for clients and servers together.
+std::size_t peer_memory(const Config& c) { return c.memory_bytes / 8 * 3; }
+
 ServerSide::Limits server_limits(const Config& c) {
   ServerSide::Limits l;
   l.max_connections = server_sockets(c);
@@ -78,11 +89,6 @@
   return l;
 }
 
-std::size_t max_open(const Config& c) {
-  return std::min<std::size_t>(c.memory_bytes / kOpenRequestBytes,
-                               static_cast<std::size_t>(c.connection_settings.max_open_requests));
-}
-
 /// Turns the exception of the module's check of the settings into a ConfigError.
 Core make_core(const Config& c, const TimeSource& clock, ListSource& list_source) try {
   return Core(c.settings, c.seed, clock, list_source, max_open(c),
@@ -116,8 +122,10 @@
       started_at_(clock.now()),
       core_(make_core(config, clock, *this)),
       request_log_(clock),
-      servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields),
-      clients_(base, clock_, core_, servers_, client_limits(config)),
+      memory_(peer_memory(config)),
+      servers_(base, clock_, *this, server_limits(config), &config_.settings.report_fields,
+               memory_),
+      clients_(base, clock_, core_, servers_, client_limits(config), memory_),
       discovery_(base, clock_, config.discovery, config.initial_list, subscription_options(config),
                  *this),
       disabled_servers_file_(state_path(config, ".bans")),
@@ -532,6 +540,7 @@
       std::max(kMinSockets, limits.sockets - std::min(limits.sockets, other_process_descriptors_));
   ServerSide::Limits servers = server_limits(limits);
   if (successor) servers.max_connections = std::max<std::size_t>(1, servers_.connections());
+  memory_.set_limit(peer_memory(limits));
   servers_.set_limits(servers);
   clients_.set_limits(client_limits(limits));
 }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -72,6 +72,7 @@
   void on_attempt_end(RequestId id, int attempt, Status status, AttemptResult&& result) override {
     core_.on_attempt_ended(id, attempt, status, std::move(result));
   }
+  bool client_has_backlog(RequestId id) override { return core_.client_has_backlog(id); }
   void on_late_write(const std::string& id_or_key, int attempt, const std::string& server,
                      Micros waited) override {
     request_log_.on_late_write(id_or_key, attempt, server, waited);
@@ -138,6 +139,7 @@
   RequestLog request_log_;
   Micros timer_due_at_ = 0;
   EventPtr timer_event_, stop_event_, log_event_, tick_event_, heartbeat_event_;
+  robinseam::limits::MemoryAccount memory_;
   ServerSide servers_;
   ClientSide clients_;
   Discovery discovery_;
--- a/src/net/router_log.cpp
+++ b/src/net/router_log.cpp
@@ -62,6 +62,10 @@
   add("ids_forgotten_early", core_.ids_forgotten_early());
   add("bad_class", submitted(Core::SubmitResult::InvalidClass));
   add("memory_peak_kb", peak_memory_kib());
+  add("held_bytes", memory_.used());
+  add("held_bytes_peak", memory_.peak());
+  add("held_bytes_limit", memory_.limit());
+  add("server_values_without_room", s.values_without_room);
   const char* const kCloseReasons[] = {"left",       "reset",    "idle",     "half_command",
                                        "stalled",    "evicted",  "draining", "framing",
                                        "over_limit", "truncated"};
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -8,9 +8,13 @@
 namespace arrowfork {
 namespace {
 
+// Larger values are shared with the request instead of copied behind the line.
+constexpr std::size_t kMaxCopiedValue = 4096;
+
 class MetaServerCodec final : public ServerCodec {
  public:
-  explicit MetaServerCodec(const std::vector<robinseam::ReportField>* fields) : reader_(fields) {}
+  MetaServerCodec(const std::vector<robinseam::ReportField>* fields, ValueGate gate)
+      : reader_(fields, std::move(gate)) {}
 
   Encoded encode(const Request& r, std::int64_t wait_ms, std::uint32_t,
                  ExpectedAnswer& expected) const override {
@@ -21,7 +25,7 @@
                               std::to_chars(digits, digits + sizeof digits, wait_ms).ptr - digits));
     std::string text;
     std::size_t wait_at = 0;
-    bool bulk = r.value && r.value->size() > kMaxValue;
+    bool bulk = r.value && r.value->size() > kMaxCopiedValue;
     std::size_t value = r.value && !bulk ? r.value->size() + 2 : 0;
     if (!r.line_before_deadline.empty()) {
       text.reserve(r.line_before_deadline.size() + wait.size() + r.line_after_deadline.size() + 2 +
@@ -58,6 +62,7 @@
     answer.framing_lost = read.framing_lost;
     answer.value_length = read.length;
     answer.result.value = std::move(read.value);
+    answer.result.value_dropped = read.value_dropped;
     answer.result.receipt = std::move(read.receipt);
     answer.result.flags = read.flags.value_or(0);
     answer.result.cache_result = read.cache_result;
@@ -127,7 +132,8 @@
 /// Sends reads as GETK, whose answer repeats the key; every packet has a unique opaque.
 class BinaryServerCodec final : public ServerCodec {
  public:
-  explicit BinaryServerCodec(const bool& cas_is_key) : cas_is_key_(cas_is_key) {}
+  BinaryServerCodec(const bool& cas_is_key, ValueGate gate)
+      : cas_is_key_(cas_is_key), reader_(std::move(gate)) {}
 
   Encoded encode(const Request& r, std::int64_t, std::uint32_t opaque,
                  ExpectedAnswer& expected) const override {
@@ -161,6 +167,7 @@
     if (answer.status == Status::Ok && next->write) answer.result.receipt = receipt_of(read.cas);
     if (answer.status == Status::Ok && !next->write) {
       answer.result.value = std::move(read.value);
+      answer.result.value_dropped = read.value_dropped;
       answer.result.flags = read.flags;
     }
     return Parsed::Answer;
@@ -189,6 +196,7 @@
       return false;
     if (answer.status != binary::status::kOk)
       return answer.key.empty() || answer.key == e.id_or_key;
+    if (answer.value_dropped) return !e.write;  // its key with it
     return e.write ? answer.key.empty() && answer.value.empty() : answer.key == e.id_or_key;
   }
 
@@ -200,9 +208,10 @@
 
 std::unique_ptr<ServerCodec> ServerCodec::make(ServerProtocol protocol,
                                                const std::vector<robinseam::ReportField>* fields,
-                                               const bool& cas_is_key) {
-  if (protocol == ServerProtocol::Binary) return std::make_unique<BinaryServerCodec>(cas_is_key);
-  return std::make_unique<MetaServerCodec>(fields);
+                                               const bool& cas_is_key, ValueGate gate) {
+  if (protocol == ServerProtocol::Binary)
+    return std::make_unique<BinaryServerCodec>(cas_is_key, std::move(gate));
+  return std::make_unique<MetaServerCodec>(fields, std::move(gate));
 }
 
 bool is_representable_as_cas(const std::string& key) {
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -67,11 +67,12 @@
   /// Whether `first`, the first byte received on a connection, belongs to the other protocol.
   virtual bool is_other_protocol(unsigned char first) const = 0;
 
-  /// `cas_is_key`: a binary server takes the CAS of a write as its idempotency key. Kept by
-  /// reference and read for each write.
+  /// `gate` is asked before a value of up to kMaxValue is buffered; a value that it declines is
+  /// dropped, and its answer says so. `cas_is_key`: a binary server takes the CAS of a write as its
+  /// idempotency key. Kept by reference and read for each write.
   static std::unique_ptr<ServerCodec> make(ServerProtocol protocol,
                                            const std::vector<robinseam::ReportField>* fields,
-                                           const bool& cas_is_key);
+                                           const bool& cas_is_key, ValueGate gate);
 };
 
 /// Whether an idempotency key can be sent as a CAS without colliding with another key.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -21,6 +21,8 @@
 // that follows another within this time may be such a duplicate, and then it is not the answer to
 // the next command.
 constexpr Micros kDuplicateAnswerTime = 50 * kMillisecond;
+// Values of up to this size are always taken.
+constexpr std::size_t kSmallValueBytes = 2048;
 // Servers are told at most this much more time than is left. STANDING allows 0.15 s.
 constexpr Micros kMaxToldWaitError = 20 * kMillisecond;
 
@@ -30,7 +32,9 @@
     : side_(side),
       pool_(pool),
       fd_(std::move(fd)),
-      codec_(ServerCodec::make(pool.protocol, side.fields_, side.rules_.cas_is_server_key)),
+      value_charge_(side.memory_),
+      codec_(ServerCodec::make(pool.protocol, side.fields_, side.rules_.cas_is_server_key,
+                               [this](std::size_t bytes) { return reserve_for_value(bytes); })),
       last_used_at_(side.clock_.now()) {
   read_.reset(event_new(side.base_, fd_.get(), EV_READ | EV_PERSIST, on_event, this));
   write_.reset(event_new(side.base_, fd_.get(), EV_WRITE, on_event, this));
@@ -293,6 +297,7 @@
   pending_.pop_front();
   --written_count_;
   pool_.budget.record_answer();
+  value_charge_.set(0);  // whoever takes the answer reserves it anew
   if (begins_value) open_pipe(answer);
   if (done.awaited)
     side_.handler_.on_attempt_end(done.id, done.attempt, answer.status, std::move(answer.result));
@@ -316,6 +321,19 @@
   return follows_closely && pending_.front().expected.write;
 }
 
+bool ServerConnection::reserve_for_value(std::size_t bytes) {
+  using Priority = robinseam::limits::MemoryAccount::Priority;
+  if (written_count_ == 0 || !pending_.front().awaited) return false;
+  if (bytes <= kSmallValueBytes) {
+    value_charge_.set(bytes);
+    return true;
+  }
+  bool backlog = side_.handler_.client_has_backlog(pending_.front().id);
+  bool reserved = value_charge_.try_set(bytes, backlog ? Priority::Backlog : Priority::First);
+  side_.counts_.values_without_room += !reserved;
+  return reserved;
+}
+
 std::optional<Micros> ServerConnection::expected_end() const {
   auto progress = codec_->progress(pending_.front().expected);
   if (!progress || progress->received == 0) return std::nullopt;
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -13,6 +13,7 @@
 
 #include "../core/core.hpp"
 #include "../io/io.hpp"
+#include "../limits/memory_account.hpp"
 #include "server_codec.hpp"
 
 namespace arrowfork {
@@ -91,6 +92,9 @@
   /// When the value that is arriving for the first pending attempt will be complete at its present
   /// rate; nothing if none is arriving.
   std::optional<Micros> expected_end() const;
+  /// Reserves memory for the value of the first pending attempt; false if there is no room, or
+  /// nobody waits for it.
+  bool reserve_for_value(std::size_t bytes);
   void close_malformed();
 
   /// True if the server has closed or reset the connection, or sent bytes that were not asked for.
@@ -100,6 +104,7 @@
   ServerPool& pool_;
   Fd fd_;
   EventPtr read_, write_;
+  robinseam::limits::MemoryCharge value_charge_;  // of the value that is arriving
   std::unique_ptr<ServerCodec> codec_;
   std::shared_ptr<ValuePipe> pipe_;   // the large value being received
   std::size_t value_bytes_left_ = 0;  // of the value and its CRLF, still to be received
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -50,12 +50,14 @@
 }  // namespace
 
 ServerSide::ServerSide(event_base* base, const TimeSource& clock, Handler& handler, Limits limits,
-                       const std::vector<robinseam::ReportField>* fields)
+                       const std::vector<robinseam::ReportField>* fields,
+                       robinseam::limits::MemoryAccount& memory)
     : base_(base),
       clock_(clock),
       handler_(handler),
       limits_(limits),
       fields_(fields),
+      memory_(memory),
       idle_timeout_(limits.routers, idle_limit()),
       read_buffer_(std::make_unique<char[]>(ServerConnection::kReadBufferBytes)) {
   sweep_event_.reset(event_new(base, -1, EV_PERSIST, on_sweep, this));
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -13,6 +13,7 @@
 #include "../io/io.hpp"
 #include "../limits/connection_close_budget.hpp"
 #include "../limits/idle_timeout.hpp"
+#include "../limits/memory_account.hpp"
 #include "config.hpp"
 #include "server_codec.hpp"
 
@@ -32,6 +33,11 @@
     /// each attempt, unless it was cancelled.
     virtual void on_attempt_end(RequestId id, int attempt, Status status,
                                 AttemptResult&& result) = 0;
+    /// Whether the request's client has other answers to take before its own.
+    virtual bool client_has_backlog(RequestId id) {
+      static_cast<void>(id);
+      return false;
+    }
     /// The bytes of an attempt were written whole, `waited` after it was queued. For logs.
     virtual void on_late_write(const std::string& id_or_key, int attempt, const std::string& server,
                                Micros waited) {
@@ -51,8 +57,10 @@
     double tier_rate = 0;  ///< requests a second allowed to the tier; 0: unknown
   };
 
+  /// Values of up to kMaxValue are reserved in `memory` before they are buffered.
   ServerSide(event_base* base, const TimeSource& clock, Handler& handler, Limits limits,
-             const std::vector<robinseam::ReportField>* fields);
+             const std::vector<robinseam::ReportField>* fields,
+             robinseam::limits::MemoryAccount& memory);
   ~ServerSide();
 
   void set_limits(const Limits& limits) { limits_ = limits; }
@@ -98,6 +106,7 @@
     std::uint64_t written = 0;  ///< attempts, completely
     /// Large values, and those of them that were not received completely.
     std::uint64_t streamed_values = 0, broken_streams = 0;
+    std::uint64_t values_without_room = 0;  ///< dropped as they arrived
   };
   const Counts& counts() const { return counts_; }
 
@@ -152,6 +161,7 @@
   Handler& handler_;
   Limits limits_;
   const std::vector<robinseam::ReportField>* fields_;
+  robinseam::limits::MemoryAccount& memory_;
   BinaryRules rules_;
   bool any_binary_ = false;  // some listed server speaks the binary protocol
   EventPtr sweep_event_;
--- a/src/protocol/binary.cpp
+++ b/src/protocol/binary.cpp
@@ -100,7 +100,7 @@
   bytes_needed_ = body;
   if (rejection_status_ == status::kOk) {
     state_ = State::Body;
-    partial_.reserve(std::min(bytes_needed_, kFirstReserve));
+    if (is_write(pending_.opcode)) return ParseResult::ValueBegins;
     return ParseResult::Incomplete;
   }
   if (body > kMaxSkippedBody) {
@@ -124,8 +124,9 @@
         return ParseResult::FramingLost;
       }
       if (!fill(in, partial_, kHeader)) return ParseResult::Incomplete;
-      if (ParseResult result = parse_header(command); result != ParseResult::Incomplete)
-        return result;
+      ParseResult result = parse_header(command);
+      if (result == ParseResult::ValueBegins && !announces_values_) continue;
+      if (result != ParseResult::Incomplete) return result;
     } else if (state_ == State::Skip) {
       std::size_t size = std::min(bytes_needed_, in.size());
       in.remove_prefix(size);
@@ -134,7 +135,16 @@
       state_ = State::Header;
       command = pending_;
       return ParseResult::Rejected;
+    } else if (state_ == State::Refuse) {
+      std::size_t size = std::min(bytes_needed_, in.size());
+      in.remove_prefix(size);
+      bytes_needed_ -= size;
+      if (bytes_needed_ > 0) return ParseResult::Incomplete;
+      state_ = State::Header;
+      command = std::move(pending_);
+      return ParseResult::Refused;
     } else {
+      partial_.reserve(bytes_needed_);
       if (!fill(in, partial_, bytes_needed_)) return ParseResult::Incomplete;
       state_ = State::Header;
       if (is_write(pending_.opcode)) {
@@ -170,7 +180,8 @@
       (read && extras_size_ != kGetExtrasBytes))
     return false;
   in_body_ = true;
-  partial_.reserve(std::min(bytes_needed_, kFirstReserve));
+  pending_.value_dropped = gate_ && bytes_needed_ > 0 && !gate_(bytes_needed_);
+  if (!pending_.value_dropped) partial_.reserve(std::min(bytes_needed_, kFirstReserve));
   return true;
 }
 
@@ -183,6 +194,15 @@
       if (!fill(in, partial_, kHeader)) return ParseResult::Incomplete;
       if (!parse_header()) return ParseResult::Malformed;
     }
+    if (pending_.value_dropped) {
+      std::size_t size = std::min(bytes_needed_, in.size());
+      in.remove_prefix(size);
+      bytes_needed_ -= size;
+      if (bytes_needed_ > 0) return ParseResult::Incomplete;
+      in_body_ = false;
+      answer = std::move(pending_);
+      return ParseResult::Answer;
+    }
     if (!fill(in, partial_, bytes_needed_)) return ParseResult::Incomplete;
     in_body_ = false;
     if (extras_size_ == kGetExtrasBytes) pending_.flags = load<std::uint32_t>(partial_, 0);
--- a/src/protocol/binary.hpp
+++ b/src/protocol/binary.hpp
@@ -61,9 +61,14 @@
 /// a key and kMaxValue bytes.
 class CommandReader {
  public:
+  /// `announces_values`: whether parse() returns ValueBegins; else bodies are buffered without
+  /// asking.
+  explicit CommandReader(bool announces_values = false) : announces_values_(announces_values) {}
   enum class ParseResult {
     Incomplete,   ///< all of `in` is consumed, no packet is complete
     Command,      ///< `command` is complete
+    ValueBegins,  ///< the header of a write is complete: go on when there is room for its body
+    Refused,      ///< as Command without its body, which refuse_value() has dropped
     Rejected,     ///< `command` has the opcode and opaque, rejection_status() the reason
     FramingLost,  ///< as Rejected, but the start of the next packet is unknown: answer and close
   };
@@ -72,11 +77,23 @@
   std::uint16_t rejection_status() const { return rejection_status_; }
   /// True while a packet is incomplete.
   bool in_command() const { return !partial_.empty() || state_ != State::Header; }
+  /// Size of the body of a write that is being read; 0 if none is.
+  std::size_t value_in_progress_bytes() const {
+    return state_ == State::Body && is_write(pending_.opcode) ? bytes_needed_ : 0;
+  }
+  /// Drops what has been read of the body in progress, and the rest as it arrives.
+  void refuse_value() {
+    if (state_ != State::Body) return;
+    state_ = State::Refuse;
+    bytes_needed_ -= partial_.size();
+    std::string().swap(partial_);
+  }
 
  private:
-  enum class State { Header, Body, Skip };
+  enum class State { Header, Body, Skip, Refuse };
   ParseResult parse_header(Command& command);
 
+  bool announces_values_;
   State state_ = State::Header;
   std::string partial_;  // of the header, then of extras, key and value
   std::size_t extras_size_ = 0, key_size_ = 0, bytes_needed_ = 0;
@@ -90,13 +107,15 @@
   std::uint16_t status = 0;
   std::uint32_t opaque = 0;
   std::uint64_t cas = 0;
-  std::uint32_t flags = 0;  ///< of a successful read
-  std::string key, value;   ///< the value of any status but kOk is its text
+  std::uint32_t flags = 0;     ///< of a successful read
+  std::string key, value;      ///< the value of any status but kOk is its text
+  bool value_dropped = false;  ///< there was no room for its body
 };
 
 /// Parses the responses of one connection in order.
 class AnswerReader {
  public:
+  explicit AnswerReader(ValueGate gate = {}) : gate_(std::move(gate)) {}
   enum class ParseResult {
     Incomplete,  ///< all of `in` is consumed, no packet is complete
     Answer,      ///< `answer` is complete
@@ -118,6 +137,7 @@
  private:
   bool parse_header();
 
+  ValueGate gate_;
   bool in_body_ = false;
   std::string partial_;
   std::size_t extras_size_ = 0, key_size_ = 0, bytes_needed_ = 0;
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -176,13 +176,18 @@
     return ParseResult::Incomplete;
   }
   state_ = State::Value;
-  value_ = std::make_shared<std::string>();
-  // A large value gets its full capacity at once instead of growing by doubling; its pages are not
-  // allocated before the bytes arrive.
-  value_->reserve(value_bytes_needed_ > kMaxValue ? value_bytes_needed_
-                                                  : std::min(value_bytes_needed_, kFirstReserve));
   pending_ = std::move(command);
-  return ParseResult::Incomplete;
+  return ParseResult::ValueBegins;
+}
+
+/// Drops bytes of a value that is not kept; true once it is over.
+bool CommandReader::skip(std::string_view& in) {
+  std::size_t size = std::min(value_bytes_needed_, in.size());
+  in.remove_prefix(size);
+  value_bytes_needed_ -= size;
+  if (value_bytes_needed_ > 0) return false;
+  state_ = State::Line;
+  return true;
 }
 
 CommandReader::ParseResult CommandReader::parse(std::string_view& in, Command& command) {
@@ -195,8 +200,15 @@
       if (!line) return ParseResult::Incomplete;
       ParseResult result = parse_command_line(*line, command);
       partial_.clear();
+      if (result == ParseResult::ValueBegins && !announces_values_) continue;
       if (result != ParseResult::Incomplete) return result;
     } else if (state_ == State::Value) {
+      // The full capacity at once instead of growing by doubling; its pages are not allocated
+      // before the bytes arrive.
+      if (!value_) {
+        value_ = std::make_shared<std::string>();
+        value_->reserve(value_size_);
+      }
       take_bytes(in, *value_, value_bytes_needed_);
       if (value_bytes_needed_ > 0) return ParseResult::Incomplete;
       state_ = State::Line;
@@ -205,12 +217,12 @@
       pending_.value = std::move(value_);
       command = std::move(pending_);
       return ParseResult::Command;
+    } else if (state_ == State::Refuse) {
+      if (!skip(in)) return ParseResult::Incomplete;
+      command = std::move(pending_);
+      return ParseResult::Refused;
     } else {
-      std::size_t size = std::min(value_bytes_needed_, in.size());
-      in.remove_prefix(size);
-      value_bytes_needed_ -= size;
-      if (value_bytes_needed_ > 0) return ParseResult::Incomplete;
-      state_ = State::Line;
+      if (!skip(in)) return ParseResult::Incomplete;
       return ParseResult::Malformed;
     }
   }
@@ -340,6 +352,15 @@
   return state_ == State::Value && ends_with_crlf(pending_.value);
 }
 
+void AnswerReader::begin_value(Answer&& head, std::size_t bytes_at_hand) {
+  pending_ = std::move(head);
+  bytes_needed_ = pending_.length + 2;
+  pending_.value_dropped = gate_ && !gate_(pending_.length);
+  state_ = pending_.value_dropped ? State::Skip : State::Value;
+  if (state_ == State::Value)
+    pending_.value.reserve(std::min(bytes_needed_, std::max(bytes_at_hand, kFirstReserve)));
+}
+
 AnswerReader::ParseResult AnswerReader::parse(std::string_view& in, Answer& answer) {
   while (true) {
     if (state_ == State::Line) {
@@ -354,10 +375,16 @@
       if (!good) return ParseResult::Malformed;
       if (answer.kind != Answer::Kind::Value) return ParseResult::Answer;
       if (answer.length > kMaxValue) return ParseResult::LargeValue;
-      bytes_needed_ = answer.length + 2;
-      pending_ = std::move(answer);
-      pending_.value.reserve(std::min(bytes_needed_, std::max(in.size(), kFirstReserve)));
-      state_ = State::Value;
+      begin_value(std::move(answer), in.size());
+    }
+    if (state_ == State::Skip) {
+      std::size_t size = std::min(bytes_needed_, in.size());
+      in.remove_prefix(size);
+      bytes_needed_ -= size;
+      if (bytes_needed_ > 0) return ParseResult::Incomplete;
+      state_ = State::Line;
+      answer = std::move(pending_);
+      return ParseResult::Answer;
     }
     take_bytes(in, pending_.value, bytes_needed_);
     if (bytes_needed_ > 0) return ParseResult::Incomplete;
--- a/src/protocol/meta.hpp
+++ b/src/protocol/meta.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,11 +38,15 @@
 /// Parses commands. `parse` consumes from `in` and buffers an incomplete command.
 class CommandReader {
  public:
-  /// `flags`: whether the flags `f` and `F` are accepted.
-  explicit CommandReader(bool flags = false) : flags_enabled_(flags) {}
+  /// `flags`: whether the flags `f` and `F` are accepted. `announces_values`: whether parse()
+  /// returns ValueBegins; else values are buffered without asking.
+  explicit CommandReader(bool flags = false, bool announces_values = false)
+      : flags_enabled_(flags), announces_values_(announces_values) {}
   enum class ParseResult {
     Incomplete,   ///< all of `in` is consumed, no command is complete
     Command,      ///< `command` is complete
+    ValueBegins,  ///< the head of a set is complete: go on when there is room for its value
+    Refused,      ///< as Command without its value, which refuse_value() has dropped
     Noop,         ///< `mn`
     Unknown,      ///< not a supported command: answer ERROR
     Malformed,    ///< a malformed command whose end is known: answer CLIENT_ERROR
@@ -50,15 +55,24 @@
   ParseResult parse(std::string_view& in, Command& command);
   /// True while a command is incomplete.
   bool in_command() const { return !partial_.empty() || state_ != State::Line; }
-  /// Size of the value that is being read; 0 if none is.
-  std::size_t value_in_progress_bytes() const { return state_ == State::Line ? 0 : value_size_; }
+  /// Size of the value that is being read, with its line end; 0 if none is.
+  std::size_t value_in_progress_bytes() const { return state_ == State::Value ? value_size_ : 0; }
+  /// `d` of the set whose value is being read, in milliseconds.
+  double time_left_in_progress_ms() const { return pending_.time_left_ms; }
+  /// Drops what has been read of the value in progress, and the rest as it arrives.
+  void refuse_value() {
+    if (state_ != State::Value) return;
+    state_ = State::Refuse;
+    value_.reset();
+  }
 
  private:
-  enum class State { Line, Value, Skip };
+  enum class State { Line, Value, Skip, Refuse };
   bool parse_line(std::string_view line, Command& command) const;
+  bool skip(std::string_view& in);
   ParseResult parse_command_line(std::string_view line, Command& command);
 
-  bool flags_enabled_;
+  bool flags_enabled_, announces_values_;
   State state_ = State::Line;
   std::string partial_;
   Command pending_;
@@ -79,12 +93,18 @@
   std::vector<double>
       report;                 ///< load report, in the order of the settings' fields; NaN if missing
   bool framing_lost = false;  ///< the connection's framing is unreliable after this line
+  bool value_dropped = false;  ///< there was no room for the value
 };
 
+/// Asked before a value of that many bytes is buffered. If it says no, the value is dropped as it
+/// arrives.
+using ValueGate = std::function<bool(std::size_t bytes)>;
+
 /// Parses the answers of one connection in order.
 class AnswerReader {
  public:
-  explicit AnswerReader(const std::vector<robinseam::ReportField>* fields) : fields_(fields) {}
+  explicit AnswerReader(const std::vector<robinseam::ReportField>* fields, ValueGate gate = {})
+      : fields_(fields), gate_(std::move(gate)) {}
   enum class ParseResult {
     Incomplete,  ///< all of `in` is consumed, no answer is complete
     Answer,      ///< `answer` is complete, with its value
@@ -107,11 +127,13 @@
   }
 
  private:
-  enum class State { Line, Value };
+  enum class State { Line, Value, Skip };
+  void begin_value(Answer&& head, std::size_t bytes_at_hand);
   bool parse_line(std::string_view line, Answer& answer) const;
   void parse_report(std::string_view text, Answer& answer) const;
 
   const std::vector<robinseam::ReportField>* fields_;
+  ValueGate gate_;
   State state_ = State::Line;
   std::string partial_;
   Answer pending_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -864,8 +864,10 @@
   }
 
   /// What an attempt's end says about load.
-  limits::Evidence evidence(const OpenRequest& o, const Attempt& a, Status status) const {
+  limits::Evidence evidence(const OpenRequest& o, const Attempt& a, Status status,
+                            bool answering) const {
     if (status == Status::Ok) return limits::Evidence::Good;
+    if (answering) return limits::Evidence::None;
     bool lost = status == Status::Error || (status == Status::Timeout && !had_little_time(o)) ||
                 (status == Status::Cancelled && a.overdue);
     return lost ? limits::Evidence::Bad : limits::Evidence::None;
@@ -1262,7 +1264,7 @@
     m.record_failure_share(s, status != Status::Ok && status != Status::Miss, m.server_share(a));
   // A latency longer than the client waited comes from a clock step or a process pause.
   Micros latency = std::min(r.latency, std::max<Micros>(o.request.remaining, m.settings.tick));
-  limits::Evidence load = m.evidence(o, a, status);
+  limits::Evidence load = m.evidence(o, a, status, r.answering);
   m.attempt_limits.record_end(m.now, a.sent_at, static_cast<std::size_t>(a.server), a.fetch_weight,
                               load, m.is_outlier(s) || s.suspicion >= kServerFaultSuspicion,
                               latency, r.cache_result, o.admission);
--- a/tests/net/client_side_fixture.hpp
+++ b/tests/net/client_side_fixture.hpp
@@ -34,7 +34,8 @@
 
 /// A ClientSide on the test's thread and clock; the test answers the attempts.
 struct Clients final : AttemptSender, ListSource {
-  explicit Clients(ClientSide::Limits limits = {}) : side(base.get(), clock, core, *this, limits) {
+  explicit Clients(ClientSide::Limits limits = {})
+      : side(base.get(), clock, core, *this, limits, memory) {
     std::string error;
     EXPECT_TRUE(side.listen(*parse_address("127.0.0.1:0"), error)) << error;
     core.start({server});
@@ -117,6 +118,7 @@
   EventBasePtr base{event_base_new()};
   robinseam::Server server = one();
   Core core{parse_config(ConfigText().text()).settings, 1, clock, *this, 1000, 1000};
+  robinseam::limits::MemoryAccount memory{64u << 20};
   ClientSide side;
   std::vector<std::string> sent;
   std::vector<std::pair<RequestId, int>> out;
--- a/tests/net/dials_test.cpp
+++ b/tests/net/dials_test.cpp
@@ -18,7 +18,7 @@
     Micros now() const override { return at; }
   };
   explicit ServerSideFixture(const Peer& server, const ServerSide::Limits& limits = {})
-      : side(base.get(), clock, *this, limits, nullptr) {
+      : side(base.get(), clock, *this, limits, nullptr, memory) {
     side.apply_list(parse_host_list(list_json(1, true, {host_json("s-1", server.address())})));
   }
   void on_attempt_end(RequestId id, int, Status status, AttemptResult&&) override {
@@ -52,6 +52,7 @@
   }
   EventBasePtr base{event_base_new()};
   ManualClock clock;
+  robinseam::limits::MemoryAccount memory{64u << 20};
   ServerSide side;
   std::map<RequestId, Status> ends;
   RequestId sent = 0;
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -305,7 +305,7 @@
 /// A ServerSide on the test's thread and clock.
 struct Servers final : ServerSide::Handler {
   explicit Servers(const std::string& address, bool binary = false)
-      : side(base.get(), clock, *this, limits(), nullptr) {
+      : side(base.get(), clock, *this, limits(), nullptr, memory) {
     if (binary) {
       BinaryRules rules;
       rules.servers = {{"", ""}};
@@ -353,6 +353,7 @@
   }
   EventBasePtr base{event_base_new()};
   ManualClock clock;
+  robinseam::limits::MemoryAccount memory{64u << 20};
   ServerSide side;
   std::map<RequestId, Status> ends;
   RequestId sent = 0;
--- a/tests/net/truncated_value_test.cpp
+++ b/tests/net/truncated_value_test.cpp
@@ -105,7 +105,7 @@
   Clients clients;
   ManualClock clock;
   auto side = std::make_unique<ClientSide>(clients.base.get(), clock, clients.core, clients,
-                                           ClientSide::Limits());
+                                           ClientSide::Limits(), clients.memory);
   std::string error;
   ASSERT_TRUE(side->listen(*parse_address("127.0.0.1:0"), error)) << error;
   TestConnection link = TestConnection::to(side->port());
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -750,7 +750,7 @@
     Micros now() const override { return 1'000'000 * kSecond; }
   };
   explicit AbandonedAttempts(const std::string& dial)
-      : side(base.get(), clock, *this, limits(), nullptr) {
+      : side(base.get(), clock, *this, limits(), nullptr, memory) {
     side.apply_list(parse_host_list(list_json(1, true, {host_json("s-1", dial)})));
   }
   static ServerSide::Limits limits() {
@@ -775,6 +775,7 @@
   }
   EventBasePtr base{event_base_new()};
   FrozenClock clock;
+  robinseam::limits::MemoryAccount memory{64u << 20};
   ServerSide side;
   std::map<Status, int> ends;
   RequestId request_count = 0;
@@ -810,7 +811,8 @@
   } handler;
   EventBasePtr base(event_base_new());
   Clock clock;
-  ServerSide side(base.get(), clock, handler, {}, nullptr);
+  robinseam::limits::MemoryAccount memory{64u << 20};
+  ServerSide side(base.get(), clock, handler, {}, nullptr, memory);
   std::string last = "s-0";
   side.apply_list(parse_host_list(list_json(1, true, {host_json(last, "127.0.0.1:9")})));
   for (int k = 1; k < 100; ++k) {
