A second busy is no answer to a read that may run only once

Cause: whether a request may be repeated was told by its command (a write) and not by its class. The core now marks each request by its class's effect, and the server connection asks that; so does the reply to a value without room.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -96,6 +96,7 @@
   open.sender = &sender;
   open.deadline = now + time_left;
   if (answers_due_at_ > 0) open.deadline = std::min(open.deadline, answers_due_at_);
+  request.repeatable = request_class->effect == robinseam::Effect::Repeatable;
   // A work hint beyond the deadline would distort the balancer's mean values.
   request.deduplicated =
       request.write && !request.idempotency_key.empty() && sender.supports_idempotency_key(request);
@@ -270,12 +271,10 @@
   erase_if_done(id);
 }
 
-Reply Core::reply_of(const Open& open, AttemptResult&& result) const {
+Reply Core::reply_of(const Open& open, AttemptResult&& result) {
   Reply reply;
   if (result.value_dropped) {
-    const robinseam::ClassSettings* type = find_class(open.request.class_name);
-    bool repeatable = type && type->effect == robinseam::Effect::Repeatable;
-    reply.kind = repeatable ? Reply::Kind::Refused : Reply::Kind::Failed;
+    reply.kind = open.request.repeatable ? Reply::Kind::Refused : Reply::Kind::Failed;
     return reply;
   }
   reply.kind = Reply::Kind::Served;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -272,7 +272,7 @@
   void erase(std::unordered_map<RequestId, Open>::iterator request);
   Counts::Replies* replies_of(const std::string& class_name);
   void give_reply(Open& open, Reply&& reply);
-  Reply reply_of(const Open& open, AttemptResult&& result) const;
+  static Reply reply_of(const Open& open, AttemptResult&& result);
   void withdraw_unsent(RequestId id, Open& open);
   static Reply reply_without_further_attempts(const Open& open);
   bool is_too_late(Micros now, Micros time_left,
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -25,6 +25,7 @@
   std::string tenant;           ///< may be empty
   std::string idempotency_key;  ///< of a write; if empty, a retry is unsafe whatever its class says
   bool deduplicated = false;    ///< set by the core: servers deduplicate by the key
+  bool repeatable = false;      ///< set by the core: its class may run any number of times
   Micros time_left = 0;         ///< until the client's deadline; limited to that of the class
   std::optional<std::int64_t> work;          ///< microseconds on a standard core
   bool retry = false;                        ///< the client marked it as a retry
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -18,7 +18,7 @@
 
   Encoded encode(const Request& r, std::int64_t wait_ms, std::uint32_t,
                  ExpectedAnswer& expected) const override {
-    expected = {r.write, r.wants_flags, r.id, 0};
+    expected = {r.write, r.repeatable, r.wants_flags, r.id, 0};
     char digits[24];
     std::string_view wait(digits,
                           static_cast<std::size_t>(
@@ -137,7 +137,7 @@
 
   Encoded encode(const Request& r, std::int64_t, std::uint32_t opaque,
                  ExpectedAnswer& expected) const override {
-    expected = {r.write, false, r.key, opaque};
+    expected = {r.write, r.repeatable, false, r.key, opaque};
     binary::Command c;
     c.opcode = r.write ? binary::Opcode::Set : binary::Opcode::GetK;
     c.opaque = opaque;
--- a/src/net/server_codec.hpp
+++ b/src/net/server_codec.hpp
@@ -18,6 +18,7 @@
 /// Identifies the command that the next answer on a connection must belong to.
 struct ExpectedAnswer {
   bool write = false;
+  bool repeatable = false;  ///< by its class
   bool wants_flags = false;
   std::string id_or_key;  ///< meta: the request's id; binary: its key
   std::uint32_t opaque = 0;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -313,12 +313,12 @@
 
 bool ServerConnection::may_be_duplicate(const ServerCodec::Answer& answer) {
   if (answer.identified) return false;
-  // Taking a duplicate "busy" for the answer to a write would allow that write to run twice. For
-  // reads this is harmless.
+  // Taking a duplicate "busy" for the answer to a request that may run only once would allow it to
+  // run twice, or refuse it though it ran. Whether it is a read or a write doesn't matter.
   bool follows_closely =
       unidentified_answer_at_ > 0 && last_used_at_ - unidentified_answer_at_ < kDuplicateAnswerTime;
   unidentified_answer_at_ = last_used_at_;
-  return follows_closely && pending_.front().expected.write;
+  return follows_closely && !pending_.front().expected.repeatable;
 }
 
 bool ServerConnection::reserve_for_value(std::size_t bytes) {
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -85,8 +85,8 @@
   /// This and process_answer() return false if the connection was closed.
   bool process_answers(std::string_view in);
   bool process_answer(ServerCodec::Answer& answer, bool begins_value);
-  /// True for a write's answer that carries no id and follows another such answer so closely that
-  /// it may be a duplicate of it.
+  /// True for an answer to a request that may not be repeated, if it carries no id and follows
+  /// another such answer so closely that it may be a duplicate of it.
   bool may_be_duplicate(const ServerCodec::Answer& answer);
 
   /// When the value that is arriving for the first pending attempt will be complete at its present
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -322,10 +322,11 @@
   void on_attempt_end(RequestId id, int, Status status, AttemptResult&&) override {
     ends[id] = status;
   }
-  RequestId send(bool write = false, std::size_t size = 1) {
+  RequestId send(bool write = false, std::size_t size = 1, bool repeatable = false) {
     Request r;
     r.key = "key", r.id = "e" + std::to_string(++sent), r.tenant = "acme";
     r.class_name = write ? "put" : "read", r.write = write;
+    r.repeatable = repeatable;
     if (write) r.value = std::make_shared<const std::string>(size, 'x');
     side.send("s-1", sent, 0, r, kSecond);
     run();
@@ -506,19 +507,22 @@
 // ---- duplicate answers ----
 
 // An answer without an id may be a duplicate of the one before, so it must not be taken as proof
-// that the next write has not run.
-TEST(Endings, ADuplicateBusyAnswerDoesNotProveThatTheNextWriteHasNotRun) {
+// that the next request has not run, if its class allows one run only.
+TEST(Endings, ADuplicateBusyAnswerDoesNotProveThatTheNextRequestHasNotRun) {
   struct Case {
     const char* what;
-    bool write, pipelined;
+    bool write, repeatable, pipelined;
     Micros later;
     Status status;
   };
   const Case cases[] = {
-      {"a write, pipelined", true, true, 0, Status::Malformed},
-      {"a write, some milliseconds late", true, false, 9 * kMillisecond, Status::Malformed},
-      {"a read, which may run twice", false, false, 0, Status::Rejected},
-      {"a write, long after", true, false, kSecond, Status::Rejected}};
+      {"a write, pipelined", true, false, true, 0, Status::Malformed},
+      {"a write, some milliseconds late", true, false, false, 9 * kMillisecond, Status::Malformed},
+      {"a read, pipelined", false, false, true, 0, Status::Malformed},
+      {"a read, some milliseconds late", false, false, false, 9 * kMillisecond, Status::Malformed},
+      {"a read, which may run twice", false, true, false, 0, Status::Rejected},
+      {"a write, which may run twice", true, true, false, 0, Status::Rejected},
+      {"a write, long after", true, false, false, kSecond, Status::Rejected}};
   for (const Case& c : cases) {
     Peer server;
     Servers servers(server.address());
@@ -528,14 +532,14 @@
     link.line();
     RequestId second = 0;
     if (c.pipelined) {
-      second = servers.send(c.write);
+      second = servers.send(c.write, 1, c.repeatable);
       servers.wait_until_written(2);
       link.write("SERVER_ERROR busy\r\nSERVER_ERROR busy\r\n");
     } else {
       link.write("SERVER_ERROR busy\r\n");
       EXPECT_EQ(servers.wait_for_end(first), Status::Rejected) << c.what;
       servers.clock.at += c.later;
-      second = servers.send(c.write);
+      second = servers.send(c.write, 1, c.repeatable);
       servers.wait_until_written(2);
       link.write("SERVER_ERROR busy\r\n");
     }
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -139,6 +139,7 @@
   EXPECT_LT(peak, load.memory_mb * 1024L);
   EXPECT_GE(seen.served, kMinServedShare * seen.requests());
   EXPECT_EQ(seen.closed, 0);
+  if (HasFailure()) std::printf("%s\n", router.log().c_str());
 }
 
 INSTANTIATE_TEST_SUITE_P(Loads, PeakMemory, testing::ValuesIn(cases()),
