--- a/src/extproc/processor.cpp
+++ b/src/extproc/processor.cpp
@@ -231,10 +231,12 @@
       core_.on_client_resumed(e.id);
     return;
   }
-  // A further attempt of a write that this router does not know. An earlier attempt may have run,
+  const robinseam::ClassSettings* type = core_.find_class(r.class_name);
+  bool repeatable = type ? type->effect == robinseam::Effect::Repeatable : !r.write;
+  // A further attempt of a request that this router does not know. An earlier attempt may have run,
   // before a restart or through another router, and without an idempotency key the servers cannot
   // drop the duplicate.
-  if (caller_attempt > 1 && r.write && r.idempotency_key.empty()) {
+  if (caller_attempt > 1 && !repeatable && r.idempotency_key.empty()) {
     ++counts_.failed;
     streams_.erase(stream);
     return send_immediate_response(stream, 503, "failed");
--- a/tests/process/stand_ins.cpp
+++ b/tests/process/stand_ins.cpp
@@ -99,9 +99,12 @@
   thread_ = std::thread([this] { run(); });
 }
 
-ScriptedCacheServer::~ScriptedCacheServer() {
+ScriptedCacheServer::~ScriptedCacheServer() { end(); }
+
+void ScriptedCacheServer::end() {
   ends_ = true;
-  thread_.join();
+  if (thread_.joinable()) thread_.join();
+  listener_.reset();
 }
 
 std::vector<ReceivedCommand> ScriptedCacheServer::received() const {
--- a/tests/process/stand_ins.hpp
+++ b/tests/process/stand_ins.hpp
@@ -61,6 +61,8 @@
   std::vector<ReceivedCommand> received() const;
   std::size_t connections() const { return accepted_; }
   void accept_from_now_on() { accepts_ = true; }
+  /// The process dies: its connections break off and new ones are refused.
+  void end();
 
  private:
   struct Connection;
