The process that takes over knows the ids of the requests that its predecessor has accepted

Cause: each process knew its own ids alone. The predecessor now sends hashes of the ids that it knows with its listener, and of new ones after each turn of its loop while a successor is connected; the successor takes over the seed of the hashes. Off a request's path; what does not fit the socket's buffer is left out. The other direction (a copy at the old process of a request of the new one) is not covered.

--- a/src/control/handover.cpp
+++ b/src/control/handover.cpp
@@ -16,7 +16,8 @@
 // Part of every hello. Versions of the program with another protocol refuse it, and both processes
 // then listen side by side.
 constexpr char kHello[] = "H1";
-constexpr char kListener = 'L', kAccepting = 'T', kClient = 'C', kHeldDescriptors = 'U';
+constexpr char kListener = 'L', kAccepting = 'T', kClient = 'C', kHeldDescriptors = 'U',
+               kRequestIds = 'I';
 constexpr int kAnswerTimeoutMs = 1000;
 // What Linux lets an unprivileged socket buffer by default (net.core.wmem_max, counted twice), less
 // its own overhead. A list beyond this, or beyond the limit of this system, is not handed over; the
@@ -157,10 +158,13 @@
     std::string list = h->handler_.server_list();
     int listener = h->handler_.listening_socket();
     if (1 + list.size() > kMaxMessageBytes) list.clear();
-    if (listener >= 0 && (send_message(h->successor_.get(), kListener + list, listener) ||
-                          (errno == EMSGSIZE &&
-                           send_message(h->successor_.get(), std::string(1, kListener), listener))))
+    if (listener >= 0 &&
+        (send_message(h->successor_.get(), kListener + list, listener) ||
+         (errno == EMSGSIZE &&
+          send_message(h->successor_.get(), std::string(1, kListener), listener)))) {
+      h->send_request_ids(h->handler_.request_ids());
       return;
+    }
   } else if (got == Received::Message && text[0] == kAccepting) {
     if (!std::exchange(h->successor_accepts_, true)) h->handler_.on_successor_ready();
     return;
@@ -193,6 +197,7 @@
       return;
     }
     if (text[0] == kClient && fd) h->handler_.on_client_handed_over(std::move(fd));
+    if (text[0] == kRequestIds) h->handler_.on_request_ids(text.substr(1));
     std::size_t held = 0;
     if (text[0] == kHeldDescriptors &&
         std::from_chars(text.data() + 1, text.data() + text.size(), held).ec == std::errc())
@@ -209,6 +214,11 @@
              : HandOverResult::NotSent;
 }
 
+void Handover::send_request_ids(const std::string& ids) {
+  if (successor_ && ids.size() < kMaxMessageBytes)
+    send_message(successor_.get(), kRequestIds + ids);
+}
+
 void Handover::report_held_descriptors(std::size_t descriptors) {
   if (has_successor())
     send_message(successor_.get(), kHeldDescriptors + std::to_string(descriptors));
--- a/src/control/handover.hpp
+++ b/src/control/handover.hpp
@@ -19,6 +19,11 @@
     /// Asked of the predecessor: its listening socket (-1: none) and its list of servers.
     virtual int listening_socket() = 0;
     virtual std::string server_list() = 0;
+    /// Called on the predecessor: the ids of its requests, as bytes for on_request_ids() of the
+    /// successor. From now on it sends those of new requests by send_request_ids().
+    virtual std::string request_ids() = 0;
+    /// Called on the successor: ids of requests that the predecessor has accepted.
+    virtual void on_request_ids(const std::string& ids) = 0;
     /// Called on the predecessor: the successor accepts clients from now on; or it has ended before
     /// this process did.
     virtual void on_successor_ready() = 0;
@@ -54,6 +59,10 @@
   enum class HandOverResult { Sent, RetryLater, NotSent };
   /// Sends a client's connection to the successor.
   HandOverResult hand_over_client(int client);
+  /// Whether a successor has asked for the listener; it may not accept clients yet.
+  bool has_connected_successor() const { return static_cast<bool>(successor_); }
+  /// Sends the successor the ids of requests; what does not fit into its buffer is left out.
+  void send_request_ids(const std::string& ids);
   /// Tells the successor how many descriptors this process holds.
   void report_held_descriptors(std::size_t descriptors);
 
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -182,6 +182,8 @@
     std::vector<Replies> replies_by_class;
   };
   const Counts& counts() const { return counts_; }
+  /// The ids of requests, to tell copies that come to another process of this router.
+  RecentIds& request_ids() { return recent_ids_; }
   /// Times at which ids of ended requests were forgotten early.
   std::uint64_t ids_forgotten_early() const { return recent_ids_.forgotten_early(); }
   using Outcomes = std::array<std::uint32_t, robinseam::kStatusCount>;  ///< by Status
--- a/src/core/recent_ids.cpp
+++ b/src/core/recent_ids.cpp
@@ -40,13 +40,35 @@
   return open_.contains(hash) || ended_[0].contains(hash) || ended_[1].contains(hash);
 }
 
-void RecentIds::open(std::string_view id) { open_.insert(hash_of(id)); }
+void RecentIds::open(std::string_view id) {
+  std::uint64_t hash = hash_of(id);
+  open_.insert(hash);
+  if (lists_opened_) opened_.push_back(hash);
+}
+
+RecentIds::Hashes RecentIds::known() const {
+  Hashes hashes{seed_, {open_.begin(), open_.end()}};
+  for (const auto& ended : ended_)
+    hashes.values.insert(hashes.values.end(), ended.begin(), ended.end());
+  return hashes;
+}
+
+bool RecentIds::adopt(Micros now, const Hashes& hashes) {
+  if (hashes.seed != seed_ && size() > 0) return false;
+  seed_ = hashes.seed;
+  rotate_if_due(now);
+  for (std::uint64_t hash : hashes.values) add_ended(now, hash);
+  return true;
+}
 
 void RecentIds::close(Micros now, std::string_view id, bool may_have_run) {
   rotate_if_due(now);
   std::uint64_t hash = hash_of(id);
   open_.erase(hash);
-  if (!may_have_run) return;
+  if (may_have_run) add_ended(now, hash);
+}
+
+void RecentIds::add_ended(Micros now, std::uint64_t hash) {
   if (ended_[0].size() >= capacity_) {
     forgotten_early_ += !ended_[1].empty();
     rotate(now);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdio>
+#include <cstring>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <unordered_map>
@@ -106,6 +107,24 @@
   return o;
 }
 
+/// Both processes of a handover run on one machine, so the numbers are in its byte order.
+std::string bytes_of(const RecentIds::Hashes& hashes) {
+  std::string bytes(reinterpret_cast<const char*>(&hashes.seed), sizeof hashes.seed);
+  bytes.append(reinterpret_cast<const char*>(hashes.values.data()),
+               hashes.values.size() * sizeof hashes.values.front());
+  return bytes;
+}
+
+std::optional<RecentIds::Hashes> parse_hashes(const std::string& bytes) {
+  RecentIds::Hashes hashes;
+  constexpr std::size_t kWord = sizeof hashes.seed;
+  if (bytes.size() < kWord || bytes.size() % kWord != 0) return std::nullopt;
+  std::memcpy(&hashes.seed, bytes.data(), kWord);
+  hashes.values.resize(bytes.size() / kWord - 1);
+  std::memcpy(hashes.values.data(), bytes.data() + kWord, bytes.size() - kWord);
+  return hashes;
+}
+
 std::vector<robinseam::Server> servers_of(const HostList& list) {
   std::vector<robinseam::Server> servers;
   servers.reserve(list.hosts.size());
@@ -203,6 +222,7 @@
       clients_.flush();
       for (Frontend* frontend : frontends_) frontend->flush();
     } while (core_.has_pending_events() || servers_.dirty() || clients_.dirty());
+    send_request_ids();
     update_recovery();
     arm_timer();
     event_base_loop(base_, EVLOOP_ONCE);
@@ -502,6 +522,23 @@
   clients_.suspend_accepting(false);
 }
 
+std::string Router::request_ids() {
+  core_.request_ids().list_opened();
+  return bytes_of(core_.request_ids().known());
+}
+
+void Router::send_request_ids() {
+  if (!core_.request_ids().has_opened()) return;
+  std::string ids = bytes_of(core_.request_ids().take_opened());
+  if (handover_ && handover_->has_connected_successor()) handover_->send_request_ids(ids);
+}
+
+void Router::on_request_ids(const std::string& ids) {
+  std::optional<RecentIds::Hashes> hashes = parse_hashes(ids);
+  if (!hashes || !core_.request_ids().adopt(clock_.now(), *hashes))
+    std::fprintf(stderr, "arrowfork: handover: ids of requests that can't be used\n");
+}
+
 void Router::on_successor_ready() {
   std::fprintf(stderr, "arrowfork: a new process accepts clients; accepting suspended here\n");
   clients_.suspend_accepting(true);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -93,6 +93,8 @@
   std::string server_list() override {
     return host_list_to_json(operator_overrides_.discovered_list());
   }
+  std::string request_ids() override;
+  void on_request_ids(const std::string& ids) override;
   void on_successor_ready() override;
   void on_successor_lost() override;
   void on_client_handed_over(Fd&& client) override { clients_.adopt(std::move(client)); }
@@ -126,6 +128,8 @@
   void log_leaving(const HostList& list) const;
   /// Applies a full list or a change of it, whatever its source.
   void apply(HostList&& discovered);
+  /// Sends the ids of new requests to the process that is to take over, if there is one.
+  void send_request_ids();
   /// Arms the timer of the core's next timed event.
   void arm_timer();
   /// All counters and gauges by name, for the log and for a client's STAT.
--- a/tests/core/recent_ids_test.cpp
+++ b/tests/core/recent_ids_test.cpp
@@ -46,5 +46,20 @@
   EXPECT_GT(ids.forgotten_early(), 0u);
 }
 
+TEST(RecentIds, TheNextProcessKnowsWhatItsPredecessorOpened) {
+  RecentIds predecessor(kSpan, 100, 7), successor(kSpan, 100, 8);
+  predecessor.open("before");
+  predecessor.list_opened();
+  EXPECT_TRUE(successor.adopt(kStart, predecessor.known()));
+  predecessor.open("after");
+  EXPECT_TRUE(successor.adopt(kStart, predecessor.take_opened()));
+  EXPECT_FALSE(predecessor.has_opened());
+  for (const char* id : {"before", "after"}) EXPECT_TRUE(successor.contains(kStart, id));
+  EXPECT_FALSE(successor.contains(kStart, "other"));
+  RecentIds stranger(kSpan, 100, 9);
+  stranger.open("x");
+  EXPECT_FALSE(successor.adopt(kStart, stranger.known()));
+}
+
 }  // namespace
 }  // namespace arrowfork
--- a/tests/operations/handover_test.cpp
+++ b/tests/operations/handover_test.cpp
@@ -96,6 +96,32 @@
   EXPECT_EQ(id_of(again.line()), "b");
 }
 
+TEST_F(HandoverTest, ARequestThatThePredecessorHasSentIsNotRunBySuccessorAgain) {
+  Peer slow;
+  ConfigText c = config();
+  c.hosts = {host_json("s-1", slow.address())};
+  RunningRouter predecessor(c);
+  TestConnection early = predecessor.client();
+  early.write(get("before"));
+  TestConnection at_server = slow.accept();
+  EXPECT_EQ(id_of(at_server.line()), "before");
+  TestConnection late = predecessor.client();
+  late.write("mn\r\n");
+  EXPECT_EQ(late.line(), "MN\r\n");
+  RunningRouter successor(c);
+  ASSERT_TRUE(ready(successor));
+  late.write(get("after"));  // a process that hands over opens no further connection
+  EXPECT_EQ(id_of(at_server.line()), "after");
+  early.close();
+  late.close();
+  TestConnection copies = successor.client();
+  for (const char* id : {"before", "after"}) {
+    copies.write(get(id));
+    EXPECT_EQ(copies.line(), "CLIENT_ERROR id in use\r\n");
+  }
+  EXPECT_TRUE(slow.no_connection_within(50));
+}
+
 TEST_F(HandoverTest, ADisabledServerStaysDisabledInTheSuccessorAndCanBeEnabledThere) {
   RunningRouter predecessor(config());
   EXPECT_NE(predecessor.control("PUT", "/-/cache-servers/s-1/disable").find("200"),
