--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -179,7 +179,11 @@
 void ClientConnection::read() {
   std::size_t most = lingering_ ? kReadBufferBytes : read_limit();
   std::string_view in;
-  if (most == 0 || receive(most, in) != ReadResult::Bytes) return;
+  if (most == 0) {  // the bound has shrunk since the event was added
+    update_reading();
+    return;
+  }
+  if (receive(most, in) != ReadResult::Bytes) return;
   if (unparsed_input_.empty()) {
     parse(in);
     buffer_input(in);
@@ -268,13 +272,13 @@
 bool ClientConnection::may_parse(Micros now) {
   using Priority = robinseam::limits::MemoryAccount::Priority;
   if (waits_for_memory_ || value_truncated_) return false;
-  if (unseen_since_ > 0 && !eof_ && !disconnect_seen_) {
+  // A client that has left, or a process that ends, gets its answers at once.
+  bool ending = eof_ || disconnect_seen_ || side_.phase_ == ClientSide::Phase::Finishing;
+  if (unseen_since_ > 0 && !ending) {
     look_for_close();
     bool settling = window_full_at_ < now;
     if (closed_ || (unseen_since_ > 0 && (settling || !may_have_left(now)))) return false;
   }
-  // A client that has left, or a process that ends, gets its answers at once.
-  bool ending = eof_ || side_.phase_ == ClientSide::Phase::Finishing;
   if (!ending && (commands_left_this_turn_ <= 0 || !pace_.allows(now))) return false;
   if (slots_.empty() && out_.empty()) return true;
   if (held_bytes_ >= kMaxHeldBytes || !side_.memory_.has_room(0, Priority::Backlog)) return false;
