--- a/src/core/value_pipe.hpp
+++ b/src/core/value_pipe.hpp
@@ -4,10 +4,13 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "../limits/memory_account.hpp"
+
 namespace arrowfork {
 
 /// Has one writer and one reader on the same event loop. The writer stops at full() and goes on
@@ -16,6 +19,9 @@
 class ValuePipe {
  public:
   ValuePipe(std::size_t length, std::size_t window) : length_(length), window_(window) {}
+  /// What it buffers is reserved in `memory`, whose owner must outlive it.
+  ValuePipe(std::size_t length, std::size_t window, robinseam::limits::MemoryAccount& memory)
+      : length_(length), window_(window), charge_(std::in_place, memory) {}
 
   std::size_t length() const { return length_; }  ///< bytes of the whole value
 
@@ -23,6 +29,7 @@
   void put(std::string_view bytes) {
     if (abandoned_) return;
     buffer_.append(bytes);
+    update_charge();
     notify(on_readable_);
   }
   bool full() const { return buffer_.size() >= window_; }
@@ -42,6 +49,7 @@
   // For the reader.
   std::string take() {
     std::string bytes = std::exchange(buffer_, {});
+    update_charge();
     if (!bytes.empty()) notify(on_writable_);
     return bytes;
   }
@@ -52,16 +60,21 @@
   void abandon() {
     if (std::exchange(abandoned_, true)) return;
     on_readable_ = nullptr;
-    buffer_.clear();
+    std::string().swap(buffer_);
+    update_charge();
     notify(on_writable_);
   }
 
  private:
+  void update_charge() {
+    if (charge_) charge_->set(buffer_.size());
+  }
   static void notify(const std::function<void()>& call) {
     if (call) call();
   }
   std::size_t length_, window_;
   std::string buffer_;
+  std::optional<robinseam::limits::MemoryCharge> charge_;
   bool finished_ = false, failed_ = false, abandoned_ = false;
   std::function<void()> on_readable_, on_writable_;
 };
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -161,7 +161,7 @@
 void ServerConnection::open_pipe(ServerCodec::Answer& answer) {
   ++side_.counts_.streamed_values;
   ++side_.open_pipes_;
-  pipe_ = std::make_shared<ValuePipe>(answer.value_length, side_.pipe_window());
+  pipe_ = std::make_shared<ValuePipe>(answer.value_length, side_.pipe_window(), side_.memory_);
   value_bytes_left_ = answer.value_length + 2;
   pipe_->on_writable([this] { update_reading(); });
   answer.result.pipe = pipe_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -533,6 +533,9 @@
 }
 
 std::size_t ServerSide::pipe_window() const {
+  using Priority = robinseam::limits::MemoryAccount::Priority;
+  // A pipe may stay full for as long as its client likes, also when the server is done with it.
+  if (!memory_.has_room(kMaxPipeWindowBytes, Priority::Backlog)) return kMinPipeWindowBytes;
   // Each window counts twice: here, and in the client connection's output buffer.
   return std::clamp(limits_.streaming_buffer_bytes / 2 / std::max<std::size_t>(1, open_pipes_),
                     kMinPipeWindowBytes, kMaxPipeWindowBytes);
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kServers = 6;
 constexpr std::size_t kUsualValueBytes = 64'000;
 constexpr std::size_t kLargeValueBytes = 1u << 20;
+// Over what is buffered whole, and small enough for a server to be done with it at once.
+constexpr std::size_t kStreamedValueBytes = 500'000;
 constexpr Micros kLoadTime = 4 * kSecond;
 // Least share of the steady client's requests that are served beside the load.
 constexpr double kMinServedShare = 0.9;
@@ -21,6 +23,7 @@
   std::size_t clients = 0;
   std::function<std::string()> input;
   std::size_t read_bytes_per_second = 0;
+  int receive_buffer = 0;  ///< of each client, in bytes; 0: the system's
   Micros server_delay = kMillisecond;
   std::size_t server_bytes_per_second = 0;  ///< of the answers to the crowd
   bool binary = false;
@@ -81,6 +84,9 @@
       1;
   add("SlowReadersOfLargeValues", 200, [] { return reads(4, "large"); })->read_bytes_per_second =
       64'000;
+  add("ReadersThatStopBeforeTheEndOfStreamedValues", 580, [] {
+    return reads(1, "streamed");
+  })->receive_buffer = 4096;
   MemoryCase* heads = add("HeadsOfManyShortFields", 580, [] { return heads_of_many_fields(40); });
   heads->server_delay = 400 * kMillisecond;
   MemoryCase* parts = add("ServersThatSendSlowly", 400, [] { return reads(8, "usual"); });
@@ -100,11 +106,14 @@
 TEST_P(PeakMemory, StaysUnderTheLimitAndOthersAreServed) {
   const MemoryCase& load = GetParam();
   const std::string usual(kUsualValueBytes, 'u'), large(kLargeValueBytes, 'l');
+  const std::string streamed(kStreamedValueBytes, 's');
   std::vector<std::unique_ptr<ScriptedCacheServer>> servers;
   RouterOptions options;
   for (std::size_t k = 0; k < kServers; ++k) {
     servers.push_back(std::make_unique<ScriptedCacheServer>([&](const ReceivedCommand& command) {
       if (command.line.starts_with("mg fields ")) return serve(command, load.server_delay);
+      if (command.line.starts_with("mg streamed "))
+        return serve(command, load.server_delay, streamed);
       bool is_usual = command.line.starts_with("mg usual ");
       bool is_large = command.line.starts_with("mg large ");
       if (!is_usual && !is_large) return serve(command);
@@ -126,6 +135,7 @@
     crowd.connections = load.clients;
     crowd.input = load.input;
     crowd.read_bytes_per_second = load.read_bytes_per_second;
+    crowd.receive_buffer = load.receive_buffer;
     Crowd clients(router.port(), crowd);
     sleep_for(kLoadTime);
   }
