A write to a binary server shares its value with the request instead of copying it

Tests of the binary codec, of the pairs of protocols and of large values pass (their values of 64 KiB go this way).

--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -146,6 +146,8 @@
     if (cas_is_key_ && r.write && is_representable_as_cas(r.idempotency_key))
       c.cas = cas_of(r.idempotency_key);
     c.key = r.key;
+    if (r.value && r.value->size() > kMaxCopiedValue)
+      return {binary::request(c, r.value->size()), r.value, {}};
     if (r.value) c.value = *r.value;
     return {binary::request(c), nullptr, {}};
   }
--- a/src/protocol/binary.cpp
+++ b/src/protocol/binary.cpp
@@ -215,11 +215,12 @@
   }
 }
 
-std::string request(const Command& c) {
+std::string request(const Command& c, std::size_t remaining_value_bytes) {
   std::string text;
   bool write = is_write(c.opcode);
   store_header(text, kRequestMagic, static_cast<std::uint8_t>(c.opcode), c.key.size(),
-               write ? kSetExtrasBytes : 0, 0, c.value.size(), c.opaque, c.cas);
+               write ? kSetExtrasBytes : 0, 0, c.value.size() + remaining_value_bytes, c.opaque,
+               c.cas);
   if (write) {
     store(text, c.flags);
     store(text, c.expiry);
--- a/src/protocol/binary.hpp
+++ b/src/protocol/binary.hpp
@@ -145,7 +145,8 @@
 };
 
 /// Encodes a request. The key has at most kMaxKey bytes, the value at most kMaxValue.
-std::string request(const Command& command);
+/// `remaining_value_bytes`: size of the rest of the value, which the caller sends separately.
+std::string request(const Command& command, std::size_t remaining_value_bytes = 0);
 
 /// Encodes a response. `flags` are sent only for a read with kOk, `key` if the opcode includes it.
 /// `remaining_value_bytes`: size of the rest of the value, which the caller sends separately.
