The scripted peers of the process tests stand with the other stand-ins, in src/rig

The scripted cache server, the crowd and the clients are stand-ins like the rig's others (docs/ARCHITECTURE.md) and need no test framework: they moved to src/rig/scripted_peers, the soak's two clients with them; errors are exceptions, and one blocking link serves them all. No check changed.

--- a/tests/process/stand_ins.cpp
+++ b/src/rig/scripted_peers.cpp
@@ -1,16 +1,19 @@
-#include "stand_ins.hpp"
+#include "scripted_peers.hpp"
 
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
 #include <deque>
-#include <fstream>
+#include <memory>
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
-namespace arrowfork::process_test {
+namespace arrowfork::rig {
 namespace {
 
 constexpr Micros kPollInterval = kMillisecond;
@@ -23,7 +26,7 @@
   auto address = parse_address("127.0.0.1:" + std::to_string(port));
   if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address) != 0 ||
       ::listen(fd.get(), backlog) != 0)
-    ADD_FAILURE() << "listen";
+    throw std::runtime_error("cannot listen on port " + std::to_string(port));
   return fd;
 }
 
@@ -55,14 +58,6 @@
 
 void sleep_for(Micros span) { std::this_thread::sleep_for(std::chrono::microseconds(span)); }
 
-bool wait_until(const std::function<bool()>& condition) {
-  for (Micros end = now() + test::kTestTimeoutMs * kMillisecond; now() < end;
-       sleep_for(5 * kMillisecond))
-    if (condition()) return true;
-  ADD_FAILURE() << "condition not met in time";
-  return false;
-}
-
 Reaction serve(const ReceivedCommand& command, Micros delay, const std::string& value) {
   Reaction reaction;
   reaction.delay = delay;
@@ -208,50 +203,6 @@
   return true;
 }
 
-// ---- the router ----
-
-std::string RouterOptions::text() const {
-  std::ostringstream out;
-  out << R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" << discovery
-      << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" << memory_mb
-      << R"(,"sockets":)" << sockets << R"(},"known":)" << test::list_json(1, true, hosts);
-  if (binary_clients)
-    out << R"(,"binary":{"clients":true,"read_class":"price-lookup","write_class":"sale-record"})";
-  out << R"(,"settings":{"Az":"a","Balancers":2,"Tenants":[{"Name":"acme","Portion":1.0}],
-    "Classes":[{"Name":"price-lookup","ObjectiveUs":150000,"DeadlineUs":)"
-      << read_deadline << R"(,"Effect":"repeatable","Worth":3.0},
-    {"Name":"sale-record","ObjectiveUs":)"
-      << keyed_objective << R"(,"DeadlineUs":)" << keyed_deadline
-      << R"(,"Effect":"by_key","Group":"all","KeyTtlUs":)" << key_ttl << R"(,"Worth":2.0},
-    {"Name":"stock-read","ObjectiveUs":150000,"DeadlineUs":)"
-      << read_deadline << R"(,"Effect":"once","Worth":2.0}],
-    "FailureDomains":["a"],"MachineTypes":["std"],"Domain":{"Mode":"through","OriginKind":-1},
-    "Limits":{"MaxAttempts":)"
-      << max_attempts << R"(,"MaxRetryAfterUs":1000000,"MayCancel":true,"SecondCopies":false,
-    "StreamsPerConn":)"
-      << streams_per_connection << R"(,"KeepaliveUs":15000000,"DialTimeoutUs":)" << dial_timeout
-      << R"(,"MaxOpen":10000},"MembershipMode":"subscribe","Report":{"Fields":[],"How":"off"},
-    "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.3,"ColdUs":8000000,
-    "DrainGraceUs":500000,"OverloadFactor":4.0,"TipAfterUs":1500000},"TickUs":2000,"Weights":"off"}})";
-  return out.str();
-}
-
-RouterUnderTest::RouterUnderTest(const RouterOptions& options) {
-  std::filesystem::path config = directory_.path() / "config.json";
-  std::ofstream(config) << options.text();
-  process_ = std::make_unique<rig::RouterProcess>(ARROWFORK_PROGRAM, config,
-                                                  directory_.path() / "log", true);
-  wait_until([this] { return process_->port() != 0 || process_->has_exited(); });
-}
-
-long RouterUnderTest::peak_memory_kib() const {
-  std::ifstream status("/proc/" + std::to_string(process_->pid()) + "/status");
-  for (std::string line; std::getline(status, line);)
-    if (line.starts_with("VmHWM:")) return std::stol(line.substr(6));
-  ADD_FAILURE() << "no VmHWM";
-  return 0;
-}
-
 // ---- clients ----
 
 std::string next_id() {
@@ -273,6 +224,40 @@
          "\r\n";
 }
 
+ClientLink::ClientLink(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  timeval limit = timeval_of(kTimeout);
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  auto address = parse_address("127.0.0.1:" + std::to_string(port));
+  if (::connect(fd_.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address) != 0)
+    fd_.reset();
+}
+
+void ClientLink::send(std::string_view text) const {
+  while (!text.empty()) {
+    ssize_t put = ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL);
+    if (put <= 0) return;
+    text.remove_prefix(static_cast<std::size_t>(put));
+  }
+}
+
+void ClientLink::send_without_waiting(std::string_view text) const {
+  ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+std::string ClientLink::line() {
+  std::size_t end;
+  while ((end = buffer_.find("\r\n")) == buffer_.npos) {
+    char data[4096];
+    ssize_t got = ::recv(fd_.get(), data, sizeof data, 0);
+    if (got <= 0) return {};
+    buffer_.append(data, static_cast<std::size_t>(got));
+  }
+  std::string line = buffer_.substr(0, end);
+  buffer_.erase(0, end + 2);
+  return line;
+}
+
 SteadyClient::SteadyClient(std::uint16_t port) : thread_([this, port] { run(port); }) {}
 
 void SteadyClient::stop() {
@@ -287,13 +272,13 @@
 
 void SteadyClient::run(std::uint16_t port) {
   constexpr int kDeadlineMs = 480;
-  TestConnection connection = TestConnection::to(port);
+  ClientLink link(port);
   for (int number = 0; !ends_; ++number) {
     Micros sent = now();
     std::string command = read_command(next_id(), kDeadlineMs, "k" + std::to_string(number % 200));
-    ::send(connection.fd(), command.data(), command.size(), MSG_NOSIGNAL);
-    std::string line = connection.line();
-    bool served = line.starts_with("VA ") && !connection.line().empty();
+    link.send(command);
+    std::string line = link.line();
+    bool served = line.starts_with("VA ") && !link.line().empty();
     {
       std::lock_guard hold(mutex_);
       if (served)
@@ -304,7 +289,7 @@
         ++(line.empty() ? counts_.closed : counts_.failed);
       counts_.longest = std::max(counts_.longest, now() - sent);
     }
-    if (line.empty()) connection = TestConnection::to(port);
+    if (line.empty()) link = ClientLink(port);
     sleep_for(std::max<Micros>(0, sent + 20 * kMillisecond - now()));
   }
 }
@@ -358,4 +343,54 @@
   }
 }
 
-}  // namespace arrowfork::process_test
+void LeavingClients::stop() {
+  ends_ = true;
+  if (thread_.joinable()) thread_.join();
+}
+
+void LeavingClients::run(std::uint16_t port) {
+  while (!ends_) {
+    std::vector<std::string> ids;
+    std::string input;
+    for (int k = 0; k < kCommands; ++k) {
+      ids.push_back(next_id());
+      input += read_command(ids.back(), 580, "k" + std::to_string(k % 50));
+    }
+    ClientLink client(port);
+    client.send_without_waiting(input);
+    sleep_for(40 * kMillisecond);
+    client.close();
+    Micros at = now();
+    for (const std::string& id : ids) closed_at_[id] = at;
+    sleep_for(250 * kMillisecond);
+  }
+}
+
+WritingClient::WritingClient(std::uint16_t port, std::string even_class, std::string odd_class,
+                             Micros max_late)
+    : classes_{std::move(even_class), std::move(odd_class)},
+      max_late_(max_late),
+      thread_([this, port] { run(port); }) {}
+
+void WritingClient::stop() {
+  ends_ = true;
+  if (thread_.joinable()) thread_.join();
+}
+
+void WritingClient::run(std::uint16_t port) {
+  ClientLink link(port);
+  for (int k = 0; !ends_ && link.connected(); ++k) {
+    std::string id = next_id();
+    Micros sent_at = now();
+    link.send(write_command(id, kDeadlineMs, "v", id, classes_[k % 2]));
+    if (link.line().empty()) {
+      unanswered_.insert(id);
+      link = ClientLink(port);
+      continue;
+    }
+    ++answered_;
+    late_ += now() - sent_at > kDeadlineMs * kMillisecond + max_late_;
+  }
+}
+
+}  // namespace arrowfork::rig
--- a/tests/process/stand_ins.hpp
+++ b/src/rig/scripted_peers.hpp
@@ -1,28 +1,27 @@
-// Peers for tests of the router as a process: cache servers whose behavior a test scripts, a client
-// that sends a steady load, and a crowd of connections. All on loopback, each on its own thread.
+// Peers with scripted behavior for a router that runs as a process: cache servers that do with each
+// command what a function says, and clients from steady ones to crowds. They speak meta over
+// loopback, with blocking calls, each on a thread of its own.
 #pragma once
 
 #include <atomic>
-#include <filesystem>
+#include <cstdint>
 #include <functional>
-#include <memory>
+#include <map>
 #include <mutex>
+#include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
-#include "../loopback.hpp"
-#include "rig/process.hpp"
+#include "../io/clock.hpp"
+#include "../io/io.hpp"
 
-namespace arrowfork::process_test {
+namespace arrowfork::rig {
 
-using test::TestConnection;
-
-/// Microseconds of one clock for all peers of a test.
+/// Microseconds of one clock for all peers of a process.
 Micros now();
 void sleep_for(Micros span);
-/// Waits until the condition holds; false, with a test failure, after kTestTimeoutMs.
-bool wait_until(const std::function<bool()>& condition);
 
 /// A command as a cache server has received it.
 struct ReceivedCommand {
@@ -83,35 +82,6 @@
   std::thread thread_;
 };
 
-/// The configuration of the process under test.
-struct RouterOptions {
-  std::vector<std::string> hosts;  ///< as by test::host_json
-  std::string discovery = "127.0.0.1:9";
-  int memory_mb = 32, sockets = 1024;
-  Micros key_ttl = 5 * kSecond, keyed_deadline = kSecond, read_deadline = 600 * kMillisecond;
-  Micros keyed_objective = 250 * kMillisecond;
-  Micros dial_timeout = 75 * kMillisecond;
-  int streams_per_connection = 32, max_attempts = 5;
-  bool binary_clients = false;
-  std::string text() const;
-};
-
-/// The lean router as a process.
-class RouterUnderTest {
- public:
-  explicit RouterUnderTest(const RouterOptions& options);
-  std::uint16_t port() const { return process_->port(); }
-  /// Peak resident memory in KiB (VmHWM).
-  long peak_memory_kib() const;
-  bool has_ended() { return process_->has_exited(); }
-  rig::RouterProcess& process() { return *process_; }
-  std::string log() const { return process_->log(); }
-
- private:
-  rig::TemporaryDirectory directory_;
-  std::unique_ptr<rig::RouterProcess> process_;
-};
-
 std::string read_command(const std::string& id, int deadline_ms, const std::string& key = "key");
 std::string write_command(const std::string& id, int deadline_ms, const std::string& value,
                           const std::string& idempotency_key,
@@ -119,6 +89,27 @@
 /// An id that no other call returns.
 std::string next_id();
 
+/// One connection of a client to a port of the loopback interface, with blocking calls.
+class ClientLink {
+ public:
+  static constexpr Micros kTimeout = 20 * kSecond;  ///< of each call
+
+  /// Not connected if the port refuses.
+  explicit ClientLink(std::uint16_t port);
+  bool connected() const { return static_cast<bool>(fd_); }
+  /// What an ended connection does not take is dropped.
+  void send(std::string_view text) const;
+  /// Sends what the system takes at once.
+  void send_without_waiting(std::string_view text) const;
+  /// The next line without its line end; empty at the end of the connection or after kTimeout.
+  std::string line();
+  void close() { fd_.reset(); }
+
+ private:
+  Fd fd_;
+  std::string buffer_;
+};
+
 /// Sends one read each 20 ms, on one connection as long as that stays open.
 class SteadyClient {
  public:
@@ -161,4 +152,47 @@
   std::thread thread_;
 };
 
-}  // namespace arrowfork::process_test
+/// Clients that one after the other send many reads at once and close 40 ms later, whatever has
+/// come.
+class LeavingClients {
+ public:
+  static constexpr int kCommands = 1'500;
+
+  explicit LeavingClients(std::uint16_t port) : thread_([this, port] { run(port); }) {}
+  ~LeavingClients() { stop(); }
+  void stop();
+  /// When the client of each id closed its connection. Call after stop().
+  const std::map<std::string, Micros>& closed_at() const { return closed_at_; }
+
+ private:
+  void run(std::uint16_t port);
+  std::atomic<bool> ends_{false};
+  std::map<std::string, Micros> closed_at_;
+  std::thread thread_;
+};
+
+/// Sends one write after the other, of two classes in turn, until its router is gone.
+class WritingClient {
+ public:
+  static constexpr int kDeadlineMs = 900;
+
+  /// An answer later than its deadline and `max_late` counts as late.
+  WritingClient(std::uint16_t port, std::string even_class, std::string odd_class, Micros max_late);
+  ~WritingClient() { stop(); }
+  void stop();
+  int late() const { return late_; }
+  int answered() const { return answered_; }
+  /// Requests whose connection ended without an answer. Call after stop().
+  const std::set<std::string>& unanswered() const { return unanswered_; }
+
+ private:
+  void run(std::uint16_t port);
+  std::string classes_[2];
+  Micros max_late_;
+  std::atomic<bool> ends_{false};
+  std::atomic<int> late_{0}, answered_{0};
+  std::set<std::string> unanswered_;
+  std::thread thread_;
+};
+
+}  // namespace arrowfork::rig
--- a/tests/process/clients_test.cpp
+++ b/tests/process/clients_test.cpp
@@ -2,7 +2,7 @@
 // them.
 #include <algorithm>
 
-#include "stand_ins.hpp"
+#include "router_under_test.hpp"
 
 namespace arrowfork::process_test {
 namespace {
--- a/tests/process/key_window_test.cpp
+++ b/tests/process/key_window_test.cpp
@@ -2,7 +2,7 @@
 // that may have run, whatever the bytes of a further attempt have to wait for.
 #include <map>
 
-#include "stand_ins.hpp"
+#include "router_under_test.hpp"
 
 namespace arrowfork::process_test {
 namespace {
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -3,7 +3,7 @@
 #include <numeric>
 
 #include "protocol/binary.hpp"
-#include "stand_ins.hpp"
+#include "router_under_test.hpp"
 
 namespace arrowfork::process_test {
 namespace {
@@ -131,12 +131,12 @@
   SteadyClient steady(router.port());
   wait_until([&] { return steady.counts().served > 20; });
   {
-    Crowd::Options crowd;
+    rig::Crowd::Options crowd;
     crowd.connections = load.clients;
     crowd.input = load.input;
     crowd.read_bytes_per_second = load.read_bytes_per_second;
     crowd.receive_buffer = load.receive_buffer;
-    Crowd clients(router.port(), crowd);
+    rig::Crowd clients(router.port(), crowd);
     sleep_for(kLoadTime);
   }
   steady.stop();
--- a/tests/process/replaced_server_test.cpp
+++ b/tests/process/replaced_server_test.cpp
@@ -1,7 +1,7 @@
 // A cache server's process ends and another one comes up at its address.
 #include <map>
 
-#include "stand_ins.hpp"
+#include "router_under_test.hpp"
 
 namespace arrowfork::process_test {
 namespace {
--- a/tests/process/slow_servers_test.cpp
+++ b/tests/process/slow_servers_test.cpp
@@ -1,7 +1,7 @@
 // Cache servers that write long answers or read long requests slowly.
 #include <map>
 
-#include "stand_ins.hpp"
+#include "router_under_test.hpp"
 
 namespace arrowfork::process_test {
 namespace {
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -9,7 +9,7 @@
 #include <random>
 #include <set>
 
-#include "stand_ins.hpp"
+#include "router_under_test.hpp"
 
 namespace arrowfork::process_test {
 namespace {
@@ -93,85 +93,6 @@
   }
 }
 
-/// Clients that send much and close soon; remembers when the ids of each were closed.
-class LeavingClients {
- public:
-  explicit LeavingClients(std::uint16_t port) : thread_([this, port] { run(port); }) {}
-  ~LeavingClients() { stop(); }
-  void stop() {
-    ends_ = true;
-    if (thread_.joinable()) thread_.join();
-  }
-  const std::map<std::string, Micros>& closed_at() const { return closed_at_; }
-
- private:
-  void run(std::uint16_t port) {
-    constexpr int kCommands = 1'500;
-    while (!ends_) {
-      std::vector<std::string> ids;
-      std::string input;
-      for (int k = 0; k < kCommands; ++k) {
-        ids.push_back(next_id());
-        input += read_command(ids.back(), 580, "k" + std::to_string(k % 50));
-      }
-      TestConnection client = TestConnection::to(port);
-      ::send(client.fd(), input.data(), input.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-      sleep_for(40 * kMillisecond);
-      client.close();
-      Micros at = now();
-      for (const std::string& id : ids) closed_at_[id] = at;
-      sleep_for(250 * kMillisecond);
-    }
-  }
-  std::atomic<bool> ends_{false};
-  std::map<std::string, Micros> closed_at_;
-  std::thread thread_;
-};
-
-/// Sends one command after the other, half of them keyed writes and half of a class that may run
-/// once; counts answers that came too late or not at all.
-class CheckingClient {
- public:
-  explicit CheckingClient(std::uint16_t port) : thread_([this, port] { run(port); }) {}
-  ~CheckingClient() { stop(); }
-  void stop() {
-    ends_ = true;
-    if (thread_.joinable()) thread_.join();
-  }
-  int late() const { return late_; }
-  int answered() const { return answered_; }
-  /// Requests whose connection ended without an answer.
-  const std::set<std::string>& unanswered() const { return unanswered_; }
-
- private:
-  void run(std::uint16_t port) {
-    constexpr int kDeadlineMs = 900;
-    TestConnection client = TestConnection::to(port);
-    auto address = parse_address("127.0.0.1:" + std::to_string(port));
-    for (int k = 0; !ends_; ++k) {
-      std::string id = next_id();
-      std::string command =
-          write_command(id, kDeadlineMs, "v", id, k % 2 ? "sale-record" : "stock-read");
-      Micros sent_at = now();
-      ::send(client.fd(), command.data(), command.size(), MSG_NOSIGNAL);
-      if (client.line().empty()) {
-        unanswered_.insert(id);
-        Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&*address), sizeof *address) != 0)
-          return;  // the process ends
-        client = TestConnection(std::move(fd));
-        continue;
-      }
-      ++answered_;
-      late_ += now() - sent_at > kDeadlineMs * kMillisecond + kMaxLate;
-    }
-  }
-  std::atomic<bool> ends_{false};
-  std::atomic<int> late_{0}, answered_{0};
-  std::set<std::string> unanswered_;
-  std::thread thread_;
-};
-
 struct Findings {
   int past_window = 0, run_twice = 0, begun_after_close = 0, lost = 0;
 };
@@ -223,20 +144,22 @@
   int crowd_kind = draw.between(0, 5), crowd_size = draw.between(50, 600);
   int signals = draw.between(0, 3);
   bool clients_leave = draw.chance(0.5);
-  Crowd::Options crowd;
+  rig::Crowd::Options crowd;
   crowd.connections = crowd_kind == 5 ? 0 : static_cast<std::size_t>(crowd_size);
   crowd.input = [crowd_kind] { return crowd_input(crowd_kind); };
   crowd.read_bytes_per_second = static_cast<std::size_t>(draw.between(1, 100)) * 1000;
-  std::vector<std::unique_ptr<CheckingClient>> checking;
-  for (int k = 0; k < 4; ++k) checking.push_back(std::make_unique<CheckingClient>(router.port()));
-  std::unique_ptr<LeavingClients> leaving;
-  if (clients_leave) leaving = std::make_unique<LeavingClients>(router.port());
+  std::vector<std::unique_ptr<rig::WritingClient>> checking;
+  for (int k = 0; k < 4; ++k)
+    checking.push_back(
+        std::make_unique<rig::WritingClient>(router.port(), "stock-read", "sale-record", kMaxLate));
+  std::unique_ptr<rig::LeavingClients> leaving;
+  if (clients_leave) leaving = std::make_unique<rig::LeavingClients>(router.port());
   int late = 0, answered = 0;
   long peak = 0;
   Micros shutdown_time = 0;
   bool ended_by_itself = false;
   {
-    Crowd clients(router.port(), crowd);
+    rig::Crowd clients(router.port(), crowd);
     for (int k = 0; k < signals; ++k) {
       sleep_for(kLoadTime / (signals + 1));
       router.process().signal(SIGHUP);
