--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,5 +1,6 @@
 #include "serve.hpp"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -11,6 +12,10 @@
 namespace arrowfork {
 namespace {
 
+// Larger buffers get pages of their own, which go back to the system when they are freed. In the heap
+// the gaps that they leave would count against the memory limit.
+constexpr int kOwnPagesBytes = 32 << 10;
+
 int report_error(const std::string& what) {
   std::fprintf(stderr, "arrowfork: %s\n", what.c_str());
   return 1;
@@ -36,6 +41,7 @@
 }  // namespace
 
 int serve(const std::function<Config()>& load, const FrontendFactory& make_frontend) {
+  ::mallopt(M_MMAP_THRESHOLD, kOwnPagesBytes);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until the reloader exists
   try {
