--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -1,5 +1,7 @@
 // Peak memory of a router process while peers make it hold bytes for them, and what a client with
-// small requests sees beside them.
+// small requests sees beside them. By hand, all loads at other limits and sizes:
+//
+//   PEAK_MEMORY=MEGABYTES:DESCRIPTORS:CLIENTS process_tests --gtest_filter=*PeakMemory*
 #include <numeric>
 
 #include "protocol/binary.hpp"
@@ -98,6 +100,14 @@
   more.name = "WritesThatStopBeforeTheirEndAt256Descriptors";
   more.memory_mb = 32, more.sockets = 256, more.clients = 400;
   all.push_back(more);
+  if (const char* chosen = std::getenv("PEAK_MEMORY")) {
+    int megabytes = 0, descriptors = 0;
+    std::size_t clients = 0;
+    if (std::sscanf(chosen, "%d:%d:%zu", &megabytes, &descriptors, &clients) != 3)
+      throw std::invalid_argument("PEAK_MEMORY=MEGABYTES:DESCRIPTORS:CLIENTS is wanted");
+    for (MemoryCase& one : all)
+      one.memory_mb = megabytes, one.sockets = descriptors, one.clients = clients;
+  }
   return all;
 }
 
