--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -157,7 +157,7 @@
   int late = 0, answered = 0;
   long peak = 0;
   Micros shutdown_time = 0;
-  bool ended_by_itself = false;
+  [[maybe_unused]] bool ended_by_itself = false;
   {
     rig::Crowd clients(router.port(), crowd);
     for (int k = 0; k < signals; ++k) {
