--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -12,8 +12,8 @@
 namespace arrowfork {
 namespace {
 
-// Larger buffers get pages of their own, which go back to the system when they are freed. In the heap
-// the gaps that they leave would count against the memory limit.
+// Larger buffers get pages of their own, which go back to the system when they are freed. In the
+// heap the gaps that they leave would count against the memory limit.
 constexpr int kOwnPagesBytes = 32 << 10;
 
 int report_error(const std::string& what) {
