Both processes of an upgrade know which requests the other one has accepted

Cause: ids went one way and once. Now each process lists the ids it accepts and sends them in messages of 32 KiB until the other one has taken them; a client's connection is handed over behind the ids only; the new process reads the ids of the old one before it accepts its first client. An old process of an earlier version sends no ids and gets none. A list that nobody takes is bounded by four times the table.

Left: a copy in the milliseconds in which the message is on its way; a wait for it would put the other process on a request's path.

--- a/src/control/handover.cpp
+++ b/src/control/handover.cpp
@@ -19,6 +19,8 @@
 constexpr char kListener = 'L', kAccepting = 'T', kClient = 'C', kHeldDescriptors = 'U',
                kRequestIds = 'I';
 constexpr int kAnswerTimeoutMs = 1000;
+// The ids of requests come right behind the listener, but not from earlier versions.
+constexpr int kRequestIdsTimeoutMs = 100;
 // What Linux lets an unprivileged socket buffer by default (net.core.wmem_max, counted twice), less
 // its own overhead. A list beyond this, or beyond the limit of this system, is not handed over; the
 // successor asks discovery.
@@ -103,6 +105,7 @@
     return inherited;
   }
   inherited.list = text.substr(1);
+  ::poll(&wait, 1, kRequestIdsTimeoutMs);
   predecessor_ = std::move(fd);
   predecessor_event_.reset(
       event_new(base_, predecessor_.get(), EV_READ | EV_PERSIST, on_predecessor_event, this));
@@ -162,12 +165,16 @@
         (send_message(h->successor_.get(), kListener + list, listener) ||
          (errno == EMSGSIZE &&
           send_message(h->successor_.get(), std::string(1, kListener), listener)))) {
-      h->send_request_ids(h->handler_.request_ids());
+      h->successor_has_listener_ = true;
+      h->handler_.on_successor_connected();
       return;
     }
   } else if (got == Received::Message && text[0] == kAccepting) {
     if (!std::exchange(h->successor_accepts_, true)) h->handler_.on_successor_ready();
     return;
+  } else if (got == Received::Message && text[0] == kRequestIds) {
+    h->handler_.on_request_ids(text.substr(1));
+    return;
   }
   h->drop_successor();
 }
@@ -175,6 +182,7 @@
 void Handover::drop_successor() {
   successor_event_.reset();
   successor_.reset();
+  successor_has_listener_ = false;
   if (std::exchange(successor_accepts_, false)) handler_.on_successor_lost();
 }
 
@@ -183,25 +191,32 @@
 }
 
 void Handover::on_predecessor_event(evutil_socket_t, short, void* self) {
-  auto* h = static_cast<Handover*>(self);
-  while (true) {
+  static_cast<Handover*>(self)->read_predecessor();
+}
+
+void Handover::read_predecessor() {
+  while (predecessor_) {
     std::string text;
     Fd fd;
-    Received got = receive(h->predecessor_.get(), text, fd);
+    Received got = receive(predecessor_.get(), text, fd);
     if (got == Received::Nothing) return;
     if (got == Received::End) {
-      h->predecessor_event_.reset();
-      h->predecessor_.reset();
-      h->bind();
-      h->handler_.on_predecessor_gone();
+      predecessor_event_.reset();
+      predecessor_.reset();
+      predecessor_takes_ids_ = false;
+      bind();
+      handler_.on_predecessor_gone();
       return;
     }
-    if (text[0] == kClient && fd) h->handler_.on_client_handed_over(std::move(fd));
-    if (text[0] == kRequestIds) h->handler_.on_request_ids(text.substr(1));
+    if (text[0] == kClient && fd) handler_.on_client_handed_over(std::move(fd));
+    if (text[0] == kRequestIds) {
+      predecessor_takes_ids_ = true;
+      handler_.on_request_ids(text.substr(1));
+    }
     std::size_t held = 0;
     if (text[0] == kHeldDescriptors &&
         std::from_chars(text.data() + 1, text.data() + text.size(), held).ec == std::errc())
-      h->handler_.on_predecessor_descriptors(held);
+      handler_.on_predecessor_descriptors(held);
   }
 }
 
@@ -214,9 +229,13 @@
              : HandOverResult::NotSent;
 }
 
-void Handover::send_request_ids(const std::string& ids) {
-  if (successor_ && ids.size() < kMaxMessageBytes)
-    send_message(successor_.get(), kRequestIds + ids);
+int Handover::request_ids_peer() const {
+  if (successor_ && successor_has_listener_) return successor_.get();
+  return predecessor_takes_ids_ ? predecessor_.get() : -1;
+}
+
+bool Handover::send_request_ids(const std::string& ids) {
+  return send_message(request_ids_peer(), kRequestIds + ids);
 }
 
 void Handover::report_held_descriptors(std::size_t descriptors) {
--- a/src/control/handover.hpp
+++ b/src/control/handover.hpp
@@ -19,10 +19,11 @@
     /// Asked of the predecessor: its listening socket (-1: none) and its list of servers.
     virtual int listening_socket() = 0;
     virtual std::string server_list() = 0;
-    /// Called on the predecessor: the ids of its requests, as bytes for on_request_ids() of the
-    /// successor. From now on it sends those of new requests by send_request_ids().
-    virtual std::string request_ids() = 0;
-    /// Called on the successor: ids of requests that the predecessor has accepted.
+    /// Called on the predecessor: a successor has its listening socket, and is to get the ids of
+    /// its requests by send_request_ids(), now and from now on.
+    virtual void on_successor_connected() = 0;
+    /// Called on both: ids of requests that the other process has accepted. The successor is called
+    /// first, and sends its own from then on.
     virtual void on_request_ids(const std::string& ids) = 0;
     /// Called on the predecessor: the successor accepts clients from now on; or it has ended before
     /// this process did.
@@ -59,10 +60,14 @@
   enum class HandOverResult { Sent, RetryLater, NotSent };
   /// Sends a client's connection to the successor.
   HandOverResult hand_over_client(int client);
-  /// Whether a successor has asked for the listener; it may not accept clients yet.
-  bool has_connected_successor() const { return static_cast<bool>(successor_); }
-  /// Sends the successor the ids of requests; what does not fit into its buffer is left out.
-  void send_request_ids(const std::string& ids);
+  /// Whether there is another process of an upgrade that knows what to do with request ids.
+  bool takes_request_ids() const { return request_ids_peer() >= 0; }
+  /// Sends the other process ids of requests, kMaxRequestIdBytes at most; false if its buffer is
+  /// full, so that they have to be sent again.
+  [[nodiscard]] bool send_request_ids(const std::string& ids);
+  static constexpr std::size_t kMaxRequestIdBytes = 32u << 10;
+  /// Handles what the predecessor has sent so far.
+  void read_predecessor();
   /// Tells the successor how many descriptors this process holds.
   void report_held_descriptors(std::size_t descriptors);
 
@@ -72,6 +77,7 @@
   static void on_predecessor_event(evutil_socket_t, short, void* self);
   void bind();
   void drop_successor();
+  int request_ids_peer() const;
 
   event_base* base_;
   std::string path_;
@@ -80,6 +86,8 @@
   EventPtr accept_event_, successor_event_, predecessor_event_;
   bool bound_ = false;              // the socket at the path is this process's
   bool successor_accepts_ = false;  // the successor has announced that it accepts clients
+  bool successor_has_listener_ = false;
+  bool predecessor_takes_ids_ = false;  // earlier versions take none, and send none
 };
 
 }  // namespace arrowfork
--- a/src/core/recent_ids.cpp
+++ b/src/core/recent_ids.cpp
@@ -43,14 +43,25 @@
 void RecentIds::open(std::string_view id) {
   std::uint64_t hash = hash_of(id);
   open_.insert(hash);
-  if (lists_opened_) opened_.push_back(hash);
+  if (lists_opened_ && listed_.size() < kMaxListed * capacity_) listed_.push_back(hash);
 }
 
-RecentIds::Hashes RecentIds::known() const {
-  Hashes hashes{seed_, {open_.begin(), open_.end()}};
-  for (const auto& ended : ended_)
-    hashes.values.insert(hashes.values.end(), ended.begin(), ended.end());
-  return hashes;
+void RecentIds::list(Listing which) {
+  lists_opened_ = which != Listing::Off;
+  listed_.clear();
+  if (which != Listing::KnownAndOpened) return;
+  listed_.insert(listed_.end(), open_.begin(), open_.end());
+  for (const auto& ended : ended_) listed_.insert(listed_.end(), ended.begin(), ended.end());
+}
+
+RecentIds::Hashes RecentIds::listed(std::size_t most) const {
+  auto end = listed_.begin() + static_cast<std::ptrdiff_t>(std::min(most, listed_.size()));
+  return {seed_, {listed_.begin(), end}};
+}
+
+void RecentIds::remove_listed(std::size_t count) {
+  count = std::min(count, listed_.size());
+  listed_.erase(listed_.begin(), listed_.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
 bool RecentIds::adopt(Micros now, const Hashes& hashes) {
--- a/src/core/recent_ids.hpp
+++ b/src/core/recent_ids.hpp
@@ -5,9 +5,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 #include <unordered_set>
-#include <utility>
 #include <vector>
 
 #include "../io/clock.hpp"
@@ -32,18 +32,24 @@
   /// that never ran is as good as the first one.
   void close(Micros now, std::string_view id, bool may_have_run);
 
-  /// The hashes of all ids that are known, for the process that takes over; they mean something
-  /// only beside the seed.
+  /// Hashes of ids for another process; they mean something only beside the seed.
   struct Hashes {
     std::uint64_t seed = 0;
     std::vector<std::uint64_t> values;
   };
-  Hashes known() const;
-  /// From now on, ids that are opened are listed for take_opened().
-  void list_opened() { lists_opened_ = true; }
-  /// The ids that were opened since the last call.
-  Hashes take_opened() { return {seed_, std::exchange(opened_, {})}; }
-  bool has_opened() const { return !opened_.empty(); }
+  enum class Listing {
+    Off,
+    Opened,          ///< ids that are opened from now on
+    KnownAndOpened,  ///< also those that are known now
+  };
+  /// Which ids are listed for the other process of an upgrade. A list of kMaxListed ids for each
+  /// one of `capacity` takes no more.
+  void list(Listing which);
+  static constexpr std::size_t kMaxListed = 4;
+  /// The first `most` of the listed ids, and removing as many once they are sent.
+  Hashes listed(std::size_t most) const;
+  void remove_listed(std::size_t count);
+  bool has_listed() const { return !listed_.empty(); }
   /// Ids that another process has accepted: they count as ended now. Takes over its seed, unless
   /// ids are known here already under another one; then it does nothing and returns false.
   bool adopt(Micros now, const Hashes& hashes);
@@ -64,7 +70,7 @@
   std::unordered_set<std::uint64_t> open_;
   std::array<std::unordered_set<std::uint64_t>, 2> ended_;  // the current span and the one before
   bool lists_opened_ = false;
-  std::vector<std::uint64_t> opened_;
+  std::deque<std::uint64_t> listed_;
   Micros rotated_at_ = 0;
   std::uint64_t forgotten_early_ = 0;
 };
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -39,6 +39,8 @@
 constexpr Micros kListFreshTime = robinseam::membership::CallSchedule::kMaxWait + 2 * kSecond;
 // A server with a smaller share of live slots counts as down in the metrics.
 constexpr double kMinLiveShare = 0.05;
+// Request ids that one message tells the other process of an upgrade.
+constexpr std::size_t kIdsPerMessage = Handover::kMaxRequestIdBytes / sizeof(std::uint64_t) - 1;
 // The minimum that one process of an upgrade gets.
 constexpr std::size_t kMinSockets = 96;
 
@@ -267,6 +269,9 @@
   bool has_successor = handover_ && handover_->has_successor();
   if (has_successor)
     clients_.set_hand_over([this](int client) {
+      // What comes on a connection there may be a copy of a request that came here.
+      send_request_ids();
+      if (core_.request_ids().has_listed()) return ClientSide::HandOverResult::RetryLater;
       switch (handover_->hand_over_client(client)) {
         case Handover::HandOverResult::Sent:
           return ClientSide::HandOverResult::Sent;
@@ -520,25 +525,41 @@
     return;
   }
   std::fprintf(stderr, "arrowfork: taking over from the running process\n");
+  handover_->read_predecessor();  // the ids of its requests
   handover_->announce_accepting();
   clients_.suspend_accepting(false);
 }
 
-std::string Router::request_ids() {
-  core_.request_ids().list_opened();
-  return bytes_of(core_.request_ids().known());
+void Router::on_successor_connected() {
+  core_.request_ids().list(RecentIds::Listing::KnownAndOpened);
+  // The successor waits for a message, also where no id is known.
+  if (!core_.request_ids().has_listed())
+    static_cast<void>(handover_->send_request_ids(bytes_of(core_.request_ids().listed(0))));
+  send_request_ids();
 }
 
 void Router::send_request_ids() {
-  if (!core_.request_ids().has_opened()) return;
-  std::string ids = bytes_of(core_.request_ids().take_opened());
-  if (handover_ && handover_->has_connected_successor()) handover_->send_request_ids(ids);
+  RecentIds& ids = core_.request_ids();
+  if (!ids.has_listed()) return;
+  if (!handover_ || !handover_->takes_request_ids()) {
+    ids.list(RecentIds::Listing::Off);
+    return;
+  }
+  while (ids.has_listed()) {
+    RecentIds::Hashes part = ids.listed(kIdsPerMessage);
+    if (!handover_->send_request_ids(bytes_of(part))) return;  // the next iteration tries again
+    ids.remove_listed(part.values.size());
+  }
 }
 
 void Router::on_request_ids(const std::string& ids) {
   std::optional<RecentIds::Hashes> hashes = parse_hashes(ids);
-  if (!hashes || !core_.request_ids().adopt(clock_.now(), *hashes))
+  if (!hashes || !core_.request_ids().adopt(clock_.now(), *hashes)) {
     std::fprintf(stderr, "arrowfork: handover: ids of requests that can't be used\n");
+    return;
+  }
+  if (handover_->has_predecessor() && !std::exchange(lists_ids_for_predecessor_, true))
+    core_.request_ids().list(RecentIds::Listing::Opened);
 }
 
 void Router::on_successor_ready() {
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -93,7 +93,7 @@
   std::string server_list() override {
     return host_list_to_json(operator_overrides_.discovered_list());
   }
-  std::string request_ids() override;
+  void on_successor_connected() override;
   void on_request_ids(const std::string& ids) override;
   void on_successor_ready() override;
   void on_successor_lost() override;
@@ -128,7 +128,7 @@
   void log_leaving(const HostList& list) const;
   /// Applies a full list or a change of it, whatever its source.
   void apply(HostList&& discovered);
-  /// Sends the ids of new requests to the process that is to take over, if there is one.
+  /// Sends the ids of accepted requests to the other process of an upgrade, if there is one.
   void send_request_ids();
   /// Arms the timer of the core's next timed event.
   void arm_timer();
@@ -156,7 +156,8 @@
   Micros last_heartbeat_at_;
   std::unique_ptr<ControlServer> control_;
   std::unique_ptr<Handover> handover_;
-  bool taking_over_ = false;                   // the predecessor still accepts clients
+  bool taking_over_ = false;  // the predecessor still accepts clients
+  bool lists_ids_for_predecessor_ = false;
   std::size_t other_process_descriptors_ = 0;  // open in the other process of an upgrade
   std::uint64_t reloads_ok_ = 0, reloads_failed_ = 0;
   std::vector<Frontend*> frontends_;
--- a/tests/core/recent_ids_test.cpp
+++ b/tests/core/recent_ids_test.cpp
@@ -46,19 +46,52 @@
   EXPECT_GT(ids.forgotten_early(), 0u);
 }
 
-TEST(RecentIds, TheNextProcessKnowsWhatItsPredecessorOpened) {
+/// Sends all that `from` lists to `to` in messages of `most` ids.
+bool send_listed(RecentIds& from, RecentIds& to, std::size_t most) {
+  while (from.has_listed()) {
+    RecentIds::Hashes part = from.listed(most);
+    EXPECT_LE(part.values.size(), most);
+    if (!to.adopt(kStart, part)) return false;
+    from.remove_listed(part.values.size());
+  }
+  return true;
+}
+
+TEST(RecentIds, BothProcessesOfAnUpgradeKnowWhatTheOtherOneOpened) {
+  constexpr int kIds = 90;
+  using Listing = RecentIds::Listing;
   RecentIds predecessor(kSpan, 100, 7), successor(kSpan, 100, 8);
-  predecessor.open("before");
-  predecessor.list_opened();
-  EXPECT_TRUE(successor.adopt(kStart, predecessor.known()));
-  predecessor.open("after");
-  EXPECT_TRUE(successor.adopt(kStart, predecessor.take_opened()));
-  EXPECT_FALSE(predecessor.has_opened());
-  for (const char* id : {"before", "after"}) EXPECT_TRUE(successor.contains(kStart, id));
+  auto id = [](const char* when, int k) { return when + std::to_string(k); };
+  for (int k = 0; k < kIds; ++k) predecessor.open(id("before", k));
+  predecessor.list(Listing::KnownAndOpened);
+  EXPECT_TRUE(send_listed(predecessor, successor, 7));
+  successor.list(Listing::Opened);
+  for (int k = 0; k < kIds; ++k) predecessor.open(id("after", k));
+  for (int k = 0; k < kIds; ++k) successor.open(id("new", k));
+  EXPECT_TRUE(send_listed(predecessor, successor, 7));
+  EXPECT_TRUE(send_listed(successor, predecessor, 7));
+  for (int k = 0; k < kIds; ++k) {
+    for (const char* when : {"before", "after", "new"}) {
+      EXPECT_TRUE(successor.contains(kStart, id(when, k))) << when << k;
+      EXPECT_TRUE(predecessor.contains(kStart, id(when, k))) << when << k;
+    }
+  }
   EXPECT_FALSE(successor.contains(kStart, "other"));
   RecentIds stranger(kSpan, 100, 9);
   stranger.open("x");
-  EXPECT_FALSE(successor.adopt(kStart, stranger.known()));
+  stranger.list(Listing::KnownAndOpened);
+  EXPECT_FALSE(send_listed(stranger, successor, 7));
+}
+
+TEST(RecentIds, AListThatNobodyTakesIsBounded) {
+  constexpr std::size_t kCapacity = 10;
+  RecentIds ids(kSpan, kCapacity, 7);
+  ids.list(RecentIds::Listing::Opened);
+  for (std::size_t k = 0; k < 100 * kCapacity; ++k) {
+    ids.open(std::to_string(k));
+    ids.close(kStart, std::to_string(k), true);
+  }
+  EXPECT_EQ(ids.listed(100 * kCapacity).values.size(), RecentIds::kMaxListed * kCapacity);
 }
 
 }  // namespace
--- a/tests/operations/handover_test.cpp
+++ b/tests/operations/handover_test.cpp
@@ -122,6 +122,26 @@
   EXPECT_TRUE(slow.no_connection_within(50));
 }
 
+TEST_F(HandoverTest, ARequestThatTheSuccessorHasSentIsNotRunByPredecessorAgain) {
+  Peer slow;
+  ConfigText c = config();
+  c.hosts = {host_json("s-1", slow.address())};
+  RunningRouter predecessor(c);
+  TestConnection copy = predecessor.client();
+  copy.write("mn\r\n");
+  EXPECT_EQ(copy.line(), "MN\r\n");
+  RunningRouter successor(c);
+  ASSERT_TRUE(ready(successor));
+  TestConnection first = successor.client();
+  first.write(get("a"));
+  EXPECT_EQ(id_of(slow.accept().line()), "a");
+  // One more iteration of the successor's loop: it has sent the id.
+  EXPECT_FALSE(successor.control("GET", "/-/metrics").empty());
+  copy.write(get("a"));
+  EXPECT_EQ(copy.line(), "CLIENT_ERROR id in use\r\n");
+  EXPECT_TRUE(slow.no_connection_within(50));
+}
+
 TEST_F(HandoverTest, ADisabledServerStaysDisabledInTheSuccessorAndCanBeEnabledThere) {
   RunningRouter predecessor(config());
   EXPECT_NE(predecessor.control("PUT", "/-/cache-servers/s-1/disable").find("200"),
