Two processes of an upgrade stay under memory_mb together

Cause: the halved account left out that each process has its own code and tables; what the old process already held was never given back; and the new one had the whole account until the first report of descriptors, 50 ms later. Class: a limit of one process that counts twice.

Now each of the two may hold its share of a third of memory_mb from the moment the new process connects, and what is over a limit that has shrunk is taken from values that clients are still writing, the one that stands still for longest first; they are refused. Handover, endings and large value tests pass.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -224,11 +224,24 @@
     bool holds = c->value_charge_.bytes() > kMinRefusedValueBytes || c->bulk_ > 0;
     if (holds && now - c->last_read_at_ > kStalledValueTime) stalled.push_back(c.get());
   }
+  refuse_values(std::move(stalled), wanted);
+}
+
+void ClientSide::refuse_values_over_limit() {
+  if (memory_.used() <= memory_.limit()) return;
+  std::vector<ClientConnection*> holders;
+  for (auto& c : connections_)
+    if (c->value_charge_.bytes() > kMinRefusedValueBytes || c->bulk_ > 0)
+      holders.push_back(c.get());
+  refuse_values(std::move(holders), memory_.used() - memory_.limit());
+}
+
+void ClientSide::refuse_values(std::vector<ClientConnection*> holders, std::size_t wanted) {
   if (wanted == 0) return;
-  std::sort(stalled.begin(), stalled.end(), [](const auto* one, const auto* other) {
+  std::sort(holders.begin(), holders.end(), [](const auto* one, const auto* other) {
     return one->last_read_at_ < other->last_read_at_;
   });
-  for (ClientConnection* c : stalled) {
+  for (ClientConnection* c : holders) {
     std::size_t freed = c->value_charge_.bytes() + c->bulk_;
     c->refuse_value();
     if (freed >= wanted) return;
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -110,6 +110,9 @@
   /// The last step of the process: flushes the output and shuts the sockets down so that answers
   /// already written are not destroyed by a reset.
   void shut_down();
+  /// Refuses values that clients are writing until what is held fits the limit of the memory
+  /// account, which has shrunk.
+  void refuse_values_over_limit();
   std::size_t connections() const { return connections_.size(); }
   /// Large values that are being streamed to clients.
   std::size_t streaming_values() const { return streaming_values_; }
@@ -149,6 +152,9 @@
   void release_bulk(std::size_t bytes);
   /// Refuses values that do not get on, if others wait for the memory they hold.
   void refuse_stalled_values(Micros now);
+  /// Refuses the values in progress of `holders`, the one that stands still for longest first,
+  /// until `wanted` bytes are free.
+  void refuse_values(std::vector<ClientConnection*> holders, std::size_t wanted);
   /// Handles more of the connection's input in the next iteration of the loop.
   void continue_next_turn(ClientConnection& connection);
   static void on_next_turn(evutil_socket_t, short, void* self);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -41,6 +41,8 @@
 constexpr double kMinLiveShare = 0.05;
 // Request ids that one message tells the other process of an upgrade.
 constexpr std::size_t kIdsPerMessage = Handover::kMaxRequestIdBytes / sizeof(std::uint64_t) - 1;
+// Each process of an upgrade may hold its share for peers of this part of the memory.
+constexpr std::size_t kUpgradeMemoryDivisor = 3;
 // The minimum that one process of an upgrade gets.
 constexpr std::size_t kMinSockets = 96;
 
@@ -206,6 +208,7 @@
     handover_->listen_for_successor();
   }
   if (taking_over_) {
+    apply_limits();
     take_over_if_ready();
     return true;
   }
@@ -591,11 +594,13 @@
 }
 
 /// Both processes of an upgrade share one set of limits: the old one opens no more connections than
-/// it has, and the new one gets the rest.
+/// it has, and the new one gets the rest. Each has its own code and tables beside what it may hold
+/// for peers, so that together they may hold less than one process.
 void Router::apply_limits() {
   Config limits = config_;
   bool successor = handover_ && handover_->has_successor();
-  if (successor || other_process_descriptors_ > 0) limits.memory_bytes /= 2;
+  bool predecessor = handover_ && handover_->has_predecessor();
+  if (successor || predecessor) limits.memory_bytes /= kUpgradeMemoryDivisor;
   limits.sockets =
       std::max(kMinSockets, limits.sockets - std::min(limits.sockets, other_process_descriptors_));
   ServerSide::Limits servers = server_limits(limits);
@@ -603,6 +608,7 @@
   memory_.set_limit(peer_memory(limits));
   servers_.set_limits(servers);
   clients_.set_limits(client_limits(limits));
+  clients_.refuse_values_over_limit();
 }
 
 // ---- timers ----
