--- a/tests/process/clients_test.cpp
+++ b/tests/process/clients_test.cpp
@@ -1,6 +1,7 @@
 // Clients that leave, and clients that take more than their part, as the router's process sees
 // them.
 #include <algorithm>
+#include <map>
 
 #include "protocol/binary.hpp"
 #include "router_under_test.hpp"
@@ -85,6 +86,65 @@
                     LeavingCase{"ManyKeyedWrites", 4'000, true, 300 * kMillisecond}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct BurstCase {
+  const char* name;
+  std::size_t commands;
+  std::size_t value_bytes;  ///< of keyed writes; 0: reads
+};
+void PrintTo(const BurstCase& one, std::ostream* out) { *out << one.name; }
+
+class LeavingBurst : public testing::TestWithParam<BurstCase> {};
+
+TEST_P(LeavingBurst, NothingIsBegunForItLater) {
+  constexpr int kBursts = 4;
+  constexpr std::size_t kClients = 200;
+  const BurstCase& load = GetParam();
+  Fleet fleet(6, [](const ReceivedCommand& c) { return serve(c, 200 * kMillisecond); });
+  RouterOptions options;
+  options.hosts = fleet.hosts;
+  RouterUnderTest router(options);
+  std::map<std::string, Micros> closed_at;
+  for (int burst = 0; burst < kBursts; ++burst) {
+    std::vector<TestConnection> clients;
+    std::vector<std::string> ids;
+    for (std::size_t k = 0; k < kClients; ++k) {
+      std::string input;
+      for (std::size_t n = 0; n < load.commands; ++n) {
+        ids.push_back(next_id());
+        input += load.value_bytes > 0
+                     ? write_command(ids.back(), 580, std::string(load.value_bytes, 'v'), next_id())
+                     : read_command(ids.back(), 580, "k" + std::to_string(n));
+      }
+      clients.push_back(TestConnection::to(router.port()));
+      ::send(clients.back().fd(), input.data(), input.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    sleep_for(50 * kMillisecond);
+    clients.clear();
+    for (const std::string& id : ids) closed_at[id] = now();
+    sleep_for(700 * kMillisecond);
+  }
+  int late = 0, begun = 0;
+  Micros latest = 0;
+  for (const ReceivedCommand& command : fleet.received()) {
+    ++begun;
+    Micros after = command.complete_at - closed_at[command.id];
+    late += after > kMaxBeginAfterClose;
+    latest = std::max(latest, after);
+  }
+  std::printf("%d attempts, %d of them late, the latest %.0f ms after the close, peak %.1f MB\n",
+              begun, late, static_cast<double>(latest) / kMillisecond,
+              static_cast<double>(router.peak_memory_kib()) / 1024);
+  EXPECT_EQ(late, 0);
+  EXPECT_FALSE(router.has_ended());
+}
+
+INSTANTIATE_TEST_SUITE_P(Loads, LeavingBurst,
+                         testing::Values(BurstCase{"Reads", 100, 0},
+                                         BurstCase{"ManyReads", 1'500, 0},
+                                         BurstCase{"KeyedWrites", 100, 1'000},
+                                         BurstCase{"LongKeyedWrites", 20, 40'000}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 TEST(LeavingClient, ItsIdIsNotRunAgainWhenItComesTwiceMore) {
   Fleet fleet(3, [](const ReceivedCommand& c) { return serve(c, 300 * kMillisecond); });
   RouterOptions options;
