A client that resets within its turn is not scheduled for the next one

Cause: ClientConnection::parse() stops when may_parse() has closed the connection, because the system reports a reset while earlier bytes are still unread. If 16 commands were handled before, its turn counted as over as well, and the closed connection was queued for the next iteration of the loop; by then it had been freed. The next iteration wrote to freed memory.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -250,7 +250,7 @@
 }
 
 void ClientSide::continue_next_turn(ClientConnection& c) {
-  if (std::exchange(c.turn_scheduled_, true)) return;
+  if (c.closed_ || std::exchange(c.turn_scheduled_, true)) return;
   next_turn_.push_back(&c);
   timeval now{0, 0};
   if (next_turn_.size() == 1) event_add(next_turn_event_.get(), &now);
--- a/src/rig/scripted_peers.cpp
+++ b/src/rig/scripted_peers.cpp
@@ -245,6 +245,12 @@
   ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
+void ClientLink::reset() {
+  linger at_once{1, 0};
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  fd_.reset();
+}
+
 std::string ClientLink::line() {
   std::size_t end;
   while ((end = buffer_.find("\r\n")) == buffer_.npos) {
--- a/src/rig/scripted_peers.hpp
+++ b/src/rig/scripted_peers.hpp
@@ -104,6 +104,8 @@
   /// The next line without its line end; empty at the end of the connection or after kTimeout.
   std::string line();
   void close() { fd_.reset(); }
+  /// Closes with a reset: unsent bytes are dropped.
+  void reset();
 
  private:
   Fd fd_;
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "client_side_fixture.hpp"
+#include "protocol/binary.hpp"
 
 namespace arrowfork::test {
 namespace {
@@ -267,6 +268,35 @@
   }
 }
 
+// Guards against a crash: the connection's freed memory was used in the next iteration.
+TEST(Endings, AClientThatResetsWithinItsTurnIsForgotten) {
+  constexpr int kStatisticsCommands = 12'000;
+  constexpr Micros kUnseenTime = 30 * kMillisecond;
+  for (int last_command = 1; last_command <= 20; ++last_command) {
+    Clients clients;
+    TestConnection link;
+    int commands = 0;
+    BinaryRules rules;
+    rules.clients = true;
+    clients.side.set_binary(rules);
+    clients.side.set_stats([&] {
+      if (++commands == last_command) link.send_reset();
+      return std::vector<std::pair<std::string, std::string>>();
+    });
+    link = clients.connect();
+    binary::Command statistics;
+    statistics.opcode = binary::Opcode::Stat;
+    std::string input;
+    for (int k = 0; k < kStatisticsCommands; ++k) input += binary::request(statistics);
+    ::send(link.fd(), input.data(), input.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    clients.run();
+    clients.clock.at += kUnseenTime;  // from now on the unread bytes may hide a close
+    clients.run_until([&] { return clients.side.connections() == 0; });
+    clients.run();
+    EXPECT_GE(commands, last_command);
+  }
+}
+
 // The till has only shut down its sending: attempts that may run are waited for; requests not
 // started shortly after are refused; answers stay in order.
 TEST(Endings, AHalfClosedTillGetsStartedRequestsServedAndTheRestRefused) {
--- a/tests/process/clients_test.cpp
+++ b/tests/process/clients_test.cpp
@@ -2,6 +2,7 @@
 // them.
 #include <algorithm>
 #include <map>
+#include <random>
 
 #include "protocol/binary.hpp"
 #include "router_under_test.hpp"
@@ -135,7 +136,7 @@
               begun, late, static_cast<double>(latest) / kMillisecond,
               static_cast<double>(router.peak_memory_kib()) / 1024);
   EXPECT_EQ(late, 0);
-  EXPECT_FALSE(router.has_ended());
+  EXPECT_FALSE(router.has_ended()) << router.log();
 }
 
 INSTANTIATE_TEST_SUITE_P(Loads, LeavingBurst,
@@ -145,6 +146,71 @@
                                          BurstCase{"LongKeyedWrites", 20, 40'000}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+struct ResetCase {
+  const char* name;
+  std::function<std::string()> command;
+  std::size_t commands;
+};
+void PrintTo(const ResetCase& one, std::ostream* out) { *out << one.name; }
+
+class ResettingClients : public testing::TestWithParam<ResetCase> {};
+
+// RESET_SECONDS: how long they come, by hand.
+TEST_P(ResettingClients, TheProcessGoesOn) {
+  constexpr int kThreads = 6, kLongestStayMs = 60;
+  const char* seconds = std::getenv("RESET_SECONDS");
+  const Micros load_time = (seconds ? std::atoi(seconds) : 3) * kSecond;
+  Fleet fleet(6, [](const ReceivedCommand& c) {
+    bool large = c.line.starts_with("mg large ");
+    return serve(c, 20 * kMillisecond, large ? std::string(500'000, 'l') : "v");
+  });
+  RouterOptions options;
+  options.hosts = fleet.hosts;
+  options.binary_clients = true;
+  RouterUnderTest router(options);
+  std::atomic<int> resets{0};
+  std::vector<std::thread> threads;
+  for (unsigned thread = 0; thread < kThreads; ++thread)
+    threads.emplace_back([&, thread] {
+      std::mt19937 random(thread);
+      for (Micros end = now() + load_time; now() < end;) {
+        std::string input;
+        for (std::size_t k = 0; k < GetParam().commands; ++k) input += GetParam().command();
+        rig::ClientLink client(router.port());
+        client.send_without_waiting(input);
+        sleep_for(random() % (kLongestStayMs * kMillisecond));
+        client.reset();
+        ++resets;
+      }
+    });
+  for (std::thread& thread : threads) thread.join();
+  EXPECT_FALSE(router.has_ended()) << router.log();
+  SteadyClient steady(router.port());
+  wait_until([&] { return steady.counts().served > 0; });
+  std::printf("%d resets\n", resets.load());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Inputs, ResettingClients,
+    testing::Values(
+        ResetCase{"Reads", [] { return read_command(next_id(), 580); }, 4'000},
+        ResetCase{"KeyedWrites",
+                  [] { return write_command(next_id(), 580, std::string(1'000, 'v'), next_id()); },
+                  300},
+        ResetCase{"LinesThatAreNoCommand", [] { return std::string("get key\r\n"); }, 30'000},
+        ResetCase{"BinaryStatistics",
+                  [] {
+                    binary::Command statistics;
+                    statistics.opcode = binary::Opcode::Stat;
+                    return binary::request(statistics);
+                  },
+                  10'000},
+        ResetCase{"LargeValues", [] { return read_command(next_id(), 580, "large"); }, 40},
+        ResetCase{
+            "LargeWrites",
+            [] { return write_command(next_id(), 580, std::string(300'000, 'v'), next_id()); }, 2}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(LeavingClient, ItsIdIsNotRunAgainWhenItComesTwiceMore) {
   Fleet fleet(3, [](const ReceivedCommand& c) { return serve(c, 300 * kMillisecond); });
   RouterOptions options;
