A command's parameters are read in one pass over the line

Cause: two thirds of the router's processor time (perf) went into CommandReader::parse_line, which searched each pair twice and compared its name with seven strings. Change: next_pair() reads each byte once, set_field() decides by the one character of the name; parse_line() is half as long. What is accepted is the same; the 82 tests of the codecs pass.

--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -82,6 +82,63 @@
   return value;
 }
 
+struct Pair {
+  std::string_view name, value;
+};
+
+/// Removes the next `name=value` and the comma after it from `rest`; nothing if either part is
+/// missing. Reads each byte once, as a line may have a thousand pairs.
+std::optional<Pair> next_pair(std::string_view& rest) {
+  std::size_t end = 0, equals = rest.npos;
+  for (; end < rest.size() && rest[end] != ','; ++end)
+    if (rest[end] == '=' && equals == rest.npos) equals = end;
+  if (equals == rest.npos || equals == 0 || equals + 1 == end) return std::nullopt;
+  Pair pair{rest.substr(0, equals), rest.substr(equals + 1, end - equals - 1)};
+  rest.remove_prefix(std::min(rest.size(), end + 1));
+  return pair;
+}
+
+/// Sets a text that may be given once; false if it is set already.
+bool set_once(std::string& text, std::string_view value) {
+  if (!text.empty()) return false;
+  text = value;
+  return true;
+}
+
+/// Sets what the pair says; false if it is invalid or repeated. Unknown names are ignored.
+/// `deadline`: where the line tells the client's time.
+bool set_field(const Pair& pair, Command& command, std::string_view& deadline) {
+  auto [name, value] = pair;
+  if (name == "size") return parse_amount(value).has_value();
+  if (name.size() != 1) return true;
+  switch (name.front()) {
+    case 'c':
+      return set_once(command.class_name, value);
+    case 't':
+      return set_once(command.tenant, value);
+    case 'k':
+      return has_valid_size(value, kMaxId) && set_once(command.idempotency_key, value);
+    case 'r':
+      command.retry = value == "1";
+      return value == "1" || value == "0";
+    case 'h': {
+      auto work = parse_amount(value);
+      if (!work || command.work) return false;
+      command.work = static_cast<std::int64_t>(*work);
+      return true;
+    }
+    case 'd': {
+      auto wait = parse_amount(value);
+      if (!wait || !deadline.empty()) return false;
+      command.time_left_ms = *wait;
+      deadline = value;
+      return true;
+    }
+    default:
+      return true;
+  }
+}
+
 }  // namespace
 
 /// Parses a command after its verb. Accepts only the form that PROTOCOL allows, since the line is
@@ -116,42 +173,15 @@
   if (line.ends_with(' ') || value_wanted == command.set || !has_valid_size(command.id, kMaxId) ||
       pairs.empty())
     return false;
-  std::string_view deadline_text;
-  for (std::string_view left = pairs; !left.empty();) {
-    std::string_view pair = left.substr(0, left.find(','));
-    left.remove_prefix(std::min(left.size(), pair.size() + 1));
-    std::size_t eq = pair.find('=');
-    if (eq == pair.npos || eq == 0 || eq + 1 == pair.size()) return false;
-    std::string_view name = pair.substr(0, eq), value = pair.substr(eq + 1);
-    if (name == "c") {
-      if (!command.class_name.empty()) return false;
-      command.class_name = value;
-    } else if (name == "t") {
-      if (!command.tenant.empty()) return false;
-      command.tenant = value;
-    } else if (name == "k") {
-      if (!command.idempotency_key.empty() || !has_valid_size(value, kMaxId)) return false;
-      command.idempotency_key = value;
-    } else if (name == "r") {
-      if (value != "1" && value != "0") return false;
-      command.retry = value == "1";
-    } else if (name == "h") {
-      auto work = parse_amount(value);
-      if (!work || command.work) return false;
-      command.work = static_cast<std::int64_t>(*work);
-    } else if (name == "size") {
-      if (!parse_amount(value)) return false;
-    } else if (name == "d") {
-      auto wait = parse_amount(value);
-      if (!wait || !deadline_text.empty()) return false;
-      command.time_left_ms = *wait;
-      deadline_text = value;
-    }
+  std::string_view deadline;
+  while (!pairs.empty()) {
+    std::optional<Pair> pair = next_pair(pairs);
+    if (!pair || !set_field(*pair, command, deadline)) return false;
   }
-  if (command.class_name.empty() || deadline_text.empty()) return false;
-  std::size_t cut = static_cast<std::size_t>(deadline_text.data() - line.data());
+  if (command.class_name.empty() || deadline.empty()) return false;
+  std::size_t cut = static_cast<std::size_t>(deadline.data() - line.data());
   command.line_before_deadline = line.substr(0, cut);
-  command.line_after_deadline = line.substr(cut + deadline_text.size());
+  command.line_after_deadline = line.substr(cut + deadline.size());
   return true;
 }
 
