--- a/tests/process/clients_test.cpp
+++ b/tests/process/clients_test.cpp
@@ -187,7 +187,11 @@
   EXPECT_FALSE(router.has_ended()) << router.log();
   SteadyClient steady(router.port());
   wait_until([&] { return steady.counts().served > 0; });
-  std::printf("%d resets\n", resets.load());
+  std::printf("%d resets, peak %.1f MB\n", resets.load(),
+              static_cast<double>(router.peak_memory_kib()) / 1024);
+#ifndef SANITIZED_PROGRAM
+  EXPECT_LT(router.peak_memory_kib(), options.memory_mb * 1024L);
+#endif
 }
 
 INSTANTIATE_TEST_SUITE_P(
