Ids of requests reach the other process of an upgrade before their attempts

Cause: run() sent the ids after the attempts and answers were written; and a process read what the other one had sent when its loop came to that socket, which may be after the client's copy. Change: run() sends the ids before the attempts. When bytes of a client have been received and are not handled yet, the messages of the other process are read: what begun there before the copy was sent is known then. Connections that come with these messages are adopted by the next iteration, since adopting may read others into the same buffer. Without an upgrade no system call is added. Related: the messages of a successor were read one for each iteration, now all that are there; on_successor_event is split into short functions. Class: a limit of one process that counts for two. What stays: a copy sent before the first attempt is written, or while the socket between both is full.

--- a/src/control/handover.cpp
+++ b/src/control/handover.cpp
@@ -160,31 +160,45 @@
 }
 
 void Handover::on_successor_event(evutil_socket_t, short, void* self) {
-  auto* h = static_cast<Handover*>(self);
-  std::string text;
-  Fd none;
-  Received got = receive(h->successor_.get(), text, none);
-  if (got == Received::Nothing) return;
-  if (got == Received::Message && text == kHello) {
-    std::string list = h->handler_.server_list();
-    int listener = h->handler_.listening_socket();
-    if (1 + list.size() > kMaxMessageBytes) list.clear();
-    if (listener >= 0 &&
-        (send_message(h->successor_.get(), kListener + list, listener) ||
-         (errno == EMSGSIZE &&
-          send_message(h->successor_.get(), std::string(1, kListener), listener)))) {
-      h->successor_has_listener_ = true;
-      h->handler_.on_successor_connected();
-      return;
-    }
-  } else if (got == Received::Message && text[0] == kAccepting) {
-    if (!std::exchange(h->successor_accepts_, true)) h->handler_.on_successor_ready();
-    return;
-  } else if (got == Received::Message && text[0] == kRequestIds) {
-    h->handler_.on_request_ids(text.substr(1));
-    return;
+  static_cast<Handover*>(self)->read_successor();
+}
+
+void Handover::read_successor() {
+  while (successor_) {
+    std::string text;
+    Fd none;
+    Received got = receive(successor_.get(), text, none);
+    if (got == Received::Nothing) return;
+    if (got == Received::End || !handle_successor_message(text)) drop_successor();
+  }
+}
+
+bool Handover::handle_successor_message(const std::string& text) {
+  if (text == kHello) return send_listener();
+  switch (text[0]) {
+    case kAccepting:
+      if (!std::exchange(successor_accepts_, true)) handler_.on_successor_ready();
+      return true;
+    case kRequestIds:
+      handler_.on_request_ids(text.substr(1));
+      return true;
+    default:
+      return false;
   }
-  h->drop_successor();
+}
+
+bool Handover::send_listener() {
+  std::string list = handler_.server_list();
+  int listener = handler_.listening_socket();
+  if (1 + list.size() > kMaxMessageBytes) list.clear();
+  if (listener < 0) return false;
+  bool sent =
+      send_message(successor_.get(), kListener + list, listener) ||
+      (errno == EMSGSIZE && send_message(successor_.get(), std::string(1, kListener), listener));
+  if (!sent) return false;
+  successor_has_listener_ = true;
+  handler_.on_successor_connected();
+  return true;
 }
 
 void Handover::drop_successor() {
--- a/src/control/handover.hpp
+++ b/src/control/handover.hpp
@@ -68,6 +68,11 @@
   static constexpr std::size_t kMaxRequestIdBytes = 32u << 10;
   /// Handles what the predecessor has sent so far.
   void read_predecessor();
+  /// Handles what the other process of an upgrade has sent so far.
+  void read_messages() {
+    read_predecessor();
+    read_successor();
+  }
   /// Tells the successor how many descriptors this process holds.
   void report_held_descriptors(std::size_t descriptors);
 
@@ -76,6 +81,10 @@
   static void on_successor_event(evutil_socket_t, short, void* self);
   static void on_predecessor_event(evutil_socket_t, short, void* self);
   void bind();
+  void read_successor();
+  /// False for a message that a successor does not send, or if it could not be answered.
+  [[nodiscard]] bool handle_successor_message(const std::string& text);
+  [[nodiscard]] bool send_listener();
   void drop_successor();
   int request_ids_peer() const;
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -172,6 +172,7 @@
   received_any_ = true;
   last_read_at_ = side_.clock_.now();
   if (!in_command()) since_ = last_read_at_;
+  if (side_.on_input_) side_.on_input_();
   in = std::string_view(side_.scratch_.get(), static_cast<std::size_t>(got));
   return ReadResult::Bytes;
 }
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -90,6 +90,9 @@
   enum class HandOverResult { Sent, RetryLater, NotSent };
   using HandOver = std::function<HandOverResult(int client)>;
   void set_hand_over(HandOver hand_over) { hand_over_ = std::move(hand_over); }
+  /// `call` is run whenever bytes of a client were received, before they are handled. It must not
+  /// add or read connections.
+  void set_on_input(std::function<void()> call) { on_input_ = std::move(call); }
   /// Drains this router for an operator: `mn` answers with an error, and once the load balancer has
   /// had time to notice, connections are closed between requests. New clients are still served.
   void set_operator_drain(bool on);
@@ -186,6 +189,7 @@
   bool operator_drain_ = false;
   Micros operator_drain_since_ = 0;
   HandOver hand_over_;
+  std::function<void()> on_input_;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<ClientConnection>> closed_;  // destroyed by the next flush()
   std::vector<ClientConnection*> dirty_, next_turn_;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -173,6 +173,8 @@
     // The list of the running process is newer than the configured one.
     handover_.reset(new Handover(base_, state_path(config_, ".sock"), *this));
     Handover::Inherited inherited = handover_->request_listener();
+    // A client may send a copy of a request as soon as the other process has begun it.
+    clients_.set_on_input([this] { handover_->read_messages(); });
     if (inherited.listener) {
       taking_over_ = true;
       clients_.listen_on(std::move(inherited.listener));
@@ -220,16 +222,22 @@
   return clients_.listen(*address, error, control_ != nullptr);
 }
 
+void Router::adopt_clients() {
+  for (Fd& client : std::exchange(handed_over_clients_, {})) clients_.adopt(std::move(client));
+}
+
 void Router::run() {
   while (!done_) {
+    adopt_clients();
     do {
       core_.process_events();
+      // Before the requests are sent: a copy of one that has begun may come to the other process.
+      send_request_ids();
       // Requests are sent before answers, since they have the longer way to go.
       servers_.flush();
       clients_.flush();
       for (Frontend* frontend : frontends_) frontend->flush();
     } while (core_.has_pending_events() || servers_.dirty() || clients_.dirty());
-    send_request_ids();
     update_recovery();
     arm_timer();
     event_base_loop(base_, EVLOOP_ONCE);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -97,7 +97,9 @@
   void on_request_ids(const std::string& ids) override;
   void on_successor_ready() override;
   void on_successor_lost() override;
-  void on_client_handed_over(Fd&& client) override { clients_.adopt(std::move(client)); }
+  void on_client_handed_over(Fd&& client) override {
+    handed_over_clients_.push_back(std::move(client));
+  }
   void on_predecessor_descriptors(std::size_t descriptors) override;
   void on_predecessor_gone() override;
 
@@ -130,6 +132,7 @@
   void apply(HostList&& discovered);
   /// Sends the ids of accepted requests to the other process of an upgrade, if there is one.
   void send_request_ids();
+  void adopt_clients();
   /// Arms the timer of the core's next timed event.
   void arm_timer();
   /// All counters and gauges by name, for the log and for a client's STAT.
@@ -156,7 +159,8 @@
   Micros last_heartbeat_at_;
   std::unique_ptr<ControlServer> control_;
   std::unique_ptr<Handover> handover_;
-  bool taking_over_ = false;  // the predecessor still accepts clients
+  std::vector<Fd> handed_over_clients_;  // adopted by the next iteration of the loop
+  bool taking_over_ = false;             // the predecessor still accepts clients
   bool lists_ids_for_predecessor_ = false;
   std::size_t other_process_descriptors_ = 0;  // open in the other process of an upgrade
   std::uint64_t reloads_ok_ = 0, reloads_failed_ = 0;
--- a/src/rig/scripted_peers.cpp
+++ b/src/rig/scripted_peers.cpp
@@ -212,9 +212,10 @@
   return text;
 }
 
-std::string read_command(const std::string& id, int deadline_ms, const std::string& key) {
-  return "mg " + key + " v O" + id + " Pc=price-lookup,t=acme,d=" + std::to_string(deadline_ms) +
-         "\r\n";
+std::string read_command(const std::string& id, int deadline_ms, const std::string& key,
+                         const std::string& class_name) {
+  return "mg " + key + " v O" + id + " Pc=" + class_name +
+         ",t=acme,d=" + std::to_string(deadline_ms) + "\r\n";
 }
 
 std::string write_command(const std::string& id, int deadline_ms, const std::string& value,
@@ -241,8 +242,15 @@
   }
 }
 
-void ClientLink::send_without_waiting(std::string_view text) const {
-  ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+std::size_t ClientLink::send_without_waiting(std::string_view text) const {
+  ssize_t sent = ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
+void ClientLink::discard_answers() const {
+  char data[kChunkBytes];
+  while (::recv(fd_.get(), data, sizeof data, MSG_DONTWAIT) > 0) {
+  }
 }
 
 void ClientLink::reset() {
@@ -372,6 +380,49 @@
   }
 }
 
+PipeliningClient::PipeliningClient(std::uint16_t port, std::string class_name)
+    : class_name_(std::move(class_name)), thread_([this, port] { run(port); }) {}
+
+void PipeliningClient::stop() {
+  ends_ = true;
+  if (thread_.joinable()) thread_.join();
+}
+
+void PipeliningClient::run(std::uint16_t port) {
+  constexpr int kReadsAtOnce = 16, kDeadlineMs = 580;
+  constexpr Micros kPause = 10 * kMillisecond;
+  ClientLink link(port);
+  std::string unsent;
+  while (!ends_) {
+    if (unsent.empty())
+      for (int k = 0; k < kReadsAtOnce; ++k)
+        unsent += read_command(next_id(), kDeadlineMs, "k" + std::to_string(k), class_name_);
+    unsent.erase(0, link.send_without_waiting(unsent));
+    link.discard_answers();
+    sleep_for(kPause);
+  }
+}
+
+void CopyingCaller::connect(std::uint16_t port) {
+  std::lock_guard hold(mutex_);
+  link_.emplace(port);
+}
+
+void CopyingCaller::on_command(const ReceivedCommand& command) {
+  // The router reads a client that is refused more often later.
+  constexpr Micros kCopyInterval = kMillisecond;
+  std::lock_guard hold(mutex_);
+  if (!begun_.insert(command.id).second) {
+    ++begun_twice_;
+    return;
+  }
+  if (!link_ || now() - last_copy_at_ < kCopyInterval) return;
+  last_copy_at_ = now();
+  link_->send(command.line + "\r\n");
+  link_->discard_answers();
+  ++copied_;
+}
+
 WritingClient::WritingClient(std::uint16_t port, std::string even_class, std::string odd_class,
                              Micros max_late)
     : classes_{std::move(even_class), std::move(odd_class)},
--- a/src/rig/scripted_peers.hpp
+++ b/src/rig/scripted_peers.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -82,7 +83,8 @@
   std::thread thread_;
 };
 
-std::string read_command(const std::string& id, int deadline_ms, const std::string& key = "key");
+std::string read_command(const std::string& id, int deadline_ms, const std::string& key = "key",
+                         const std::string& class_name = "price-lookup");
 std::string write_command(const std::string& id, int deadline_ms, const std::string& value,
                           const std::string& idempotency_key,
                           const std::string& class_name = "sale-record");
@@ -99,10 +101,12 @@
   bool connected() const { return static_cast<bool>(fd_); }
   /// What an ended connection does not take is dropped.
   void send(std::string_view text) const;
-  /// Sends what the system takes at once.
-  void send_without_waiting(std::string_view text) const;
+  /// Sends what the system takes at once; returns how many bytes that were.
+  std::size_t send_without_waiting(std::string_view text) const;
   /// The next line without its line end; empty at the end of the connection or after kTimeout.
   std::string line();
+  /// Drops the answers that have come.
+  void discard_answers() const;
   void close() { fd_.reset(); }
   /// Closes with a reset: unsent bytes are dropped.
   void reset();
@@ -175,6 +179,39 @@
   std::thread thread_;
 };
 
+/// Sends 16 reads each 10 ms without waiting for their answers.
+class PipeliningClient {
+ public:
+  PipeliningClient(std::uint16_t port, std::string class_name);
+  ~PipeliningClient() { stop(); }
+  void stop();
+
+ private:
+  void run(std::uint16_t port);
+  std::string class_name_;
+  std::atomic<bool> ends_{false};
+  std::thread thread_;
+};
+
+/// Sends copies of reads, with their ids, as soon as a cache server has received them, and counts
+/// the ids that reach servers twice. Its calls may come from any thread.
+class CopyingCaller {
+ public:
+  /// From now on copies go to the router at `port`.
+  void connect(std::uint16_t port);
+  /// A cache server has received the command.
+  void on_command(const ReceivedCommand& command);
+  int copied() const { return copied_; }
+  int begun_twice() const { return begun_twice_; }
+
+ private:
+  std::mutex mutex_;
+  std::optional<ClientLink> link_;
+  std::set<std::string> begun_;
+  Micros last_copy_at_ = 0;
+  std::atomic<int> copied_{0}, begun_twice_{0};
+};
+
 /// Sends one write after the other, of two classes in turn, until its router is gone.
 class WritingClient {
  public:
--- a/tests/process/upgrade_test.cpp
+++ b/tests/process/upgrade_test.cpp
@@ -98,5 +98,43 @@
                     UpgradeCase{"ReadersOfOneByteASecond", 400, many_reads, 1}),
     [](const auto& info) { return std::string(info.param.name); });
 
+class UpgradeIds : public testing::TestWithParam<bool> {};
+
+TEST_P(UpgradeIds, ACopyOfABegunRequestIsNotRunByTheOtherProcess) {
+  constexpr std::size_t kClients = 6;
+  const bool copies_to_predecessor = GetParam();
+  rig::TemporaryDirectory state;
+  RouterOptions options;
+  options.state_dir = state.path();
+  rig::CopyingCaller copies;
+  std::vector<std::unique_ptr<ScriptedCacheServer>> servers;
+  for (std::size_t k = 0; k < kServers; ++k) {
+    servers.push_back(std::make_unique<ScriptedCacheServer>([&](const ReceivedCommand& c) {
+      copies.on_command(c);
+      return serve(c, 3 * kMillisecond);
+    }));
+    options.hosts.push_back(test::host_json("s-" + std::to_string(k), servers.back()->address()));
+  }
+  RouterUnderTest predecessor(options);
+  std::vector<std::unique_ptr<rig::PipeliningClient>> clients;
+  auto connect = [&](bool callers) {
+    if (callers) return copies.connect(predecessor.port());
+    for (std::size_t k = 0; k < kClients; ++k)
+      clients.push_back(std::make_unique<rig::PipeliningClient>(predecessor.port(), "stock-read"));
+  };
+  connect(copies_to_predecessor);
+  sleep_for(kSecond / 5);  // until they are accepted
+  RouterUnderTest successor(options);
+  wait_until([&] { return successor.log().find("taking over") != std::string::npos; });
+  connect(!copies_to_predecessor);
+  sleep_for(kSecond);
+  clients.clear();
+  std::printf("%d ids copied, %d of them begun twice\n", copies.copied(), copies.begun_twice());
+  EXPECT_GT(copies.copied(), 0);
+  EXPECT_EQ(copies.begun_twice(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(CopiesToPredecessor, UpgradeIds, testing::Bool());
+
 }  // namespace
 }  // namespace arrowfork::process_test
