Review case 8: an upgrade begins work for tills that have left

The old process of an upgrade sees that a client has closed, but passes its connection on with a command unread; the new one begins it 0.2 s after the close.

--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -386,65 +386,93 @@
   void start_router(const Discovery& discovery, int routers, bool control = false,
                     bool second_copies = true) {
     port_ = free_port();
+    start_process(discovery, routers, control, second_copies);
+    for (long until = now_ms() + 15'000; now_ms() < until; sleep_ms(50)) {
+      if (!says_yes()) continue;
+      record("the router is ready");
+      sleep_ms(1000);  // its first call to discovery
+      return;
+    }
+    could_not_run("the router was not ready");
+  }
+  /// An upgrade: a second process beside the running one, with the same addresses and folder and
+  /// another second address. Returns when that says yes.
+  void start_new_version(const Discovery& discovery, int routers) {
+    start_process(discovery, routers, true, true);
+    for (long until = now_ms() + 6000; now_ms() < until; sleep_ms(20)) {
+      if (control_call("GET /-/ready").find(" 200 ") == std::string::npos) continue;
+      record("platform: the new process says yes");
+      return;
+    }
+    could_not_run("the new process did not say yes within 6 s");
+  }
+  /// Whether a new connection's `mn` is answered with `MN`.
+  bool says_yes() {
+    int fd = connect_to(port_);
+    if (fd < 0) return false;
+    Reader in(fd);
+    send_all(fd, "mn\r\n");
+    auto answer = in.line(now_ms() + 500);
+    ::close(fd);
+    return answer == "MN";
+  }
+  /// The first line of the answer to an operator's call, by the newest process.
+  std::string control_call(const std::string& call) {
+    int fd = connect_to(control_port_);
+    if (fd < 0) return "no connection";
+    send_all(fd, call + " HTTP/1.1\r\nHost: router\r\nContent-Length: 0\r\n\r\n");
+    Reader in(fd);
+    auto answer = in.line(now_ms() + 2000);
+    ::close(fd);
+    return answer.value_or("no answer");
+  }
+  /// The process that was started first.
+  pid_t first_process() const { return routers_.front(); }
+
+  [[noreturn]] void could_not_run(const char* why) { end(2, why); }
+  [[noreturn]] void held(const char* why) { end(0, why); }
+  [[noreturn]] void broken(const char* why) { end(1, why); }
+
+ private:
+  void start_process(const Discovery& discovery, int routers, bool control, bool second_copies) {
     if (control) control_port_ = free_port();
-    std::string path = folder_ + "/config.json";
-    std::ofstream(path) << "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" << port_ << "\",\"discovery\":\""
-                        << discovery.address() << "\",\"seed\":\"8c1f30d27a5be964\","
-                        << (control ? "\"control\":\"127.0.0.1:" + std::to_string(control_port_) + "\","
+    std::string number = std::to_string(routers_.size());
+    std::string path = folder_ + "/config" + number + ".json";
+    std::ofstream(path) << "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" << port_
+                        << "\",\"discovery\":\"" << discovery.address()
+                        << "\",\"seed\":\"8c1f30d27a5be96" << number << "\","
+                        << (control ? "\"control\":\"127.0.0.1:" +
+                                          std::to_string(control_port_) + "\","
                                     : std::string())
                         << "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                         << "\"known\":" << discovery.whole_list()
                         << ",\"settings\":" << settings(routers, second_copies) << "}";
     std::filesystem::create_directory(folder_ + "/tmp");
-    router_ = ::fork();
-    if (router_ == 0) {
+    pid_t router = ::fork();
+    if (router == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // should the case itself be killed
       ::setenv("NODE_NAME", "n0", 1);
       ::setenv("NODE_CONFIG", path.c_str(), 1);
       ::setenv("TMPDIR", (folder_ + "/tmp").c_str(), 1);
-      int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+      int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
       ::dup2(log, 1);
       ::dup2(log, 2);
       ::execl("/bin/sh", "sh", "-c", run_.c_str(), static_cast<char*>(nullptr));
       ::_exit(127);
     }
-    for (long until = now_ms() + 15'000; now_ms() < until; sleep_ms(50)) {
-      int fd = connect_to(port_);
-      if (fd < 0) continue;
-      Reader in(fd);
-      send_all(fd, "mn\r\n");
-      auto answer = in.line(now_ms() + 500);
-      ::close(fd);
-      if (answer == "MN") {
-        record("the router is ready");
-        sleep_ms(1000);  // its first call to discovery
-        return;
-      }
-    }
-    could_not_run("the router was not ready");
+    if (router < 0) could_not_run("no process could be started");
+    routers_.push_back(router);
   }
-
-  bool router_alive() {
-    if (router_ <= 0) return false;
-    int status = 0;
-    return ::waitpid(router_, &status, WNOHANG) == 0;
-  }
-
-  [[noreturn]] void could_not_run(const char* why) { end(2, why); }
-  [[noreturn]] void held(const char* why) { end(0, why); }
-  [[noreturn]] void broken(const char* why) { end(1, why); }
-
- private:
   [[noreturn]] void end(int code, const char* why) {
     static std::mutex once;
     once.lock();  // never unlocked: the first end counts
     record("%s: %s", code == 0 ? "HELD" : code == 1 ? "BROKEN" : "NOT RUN", why);
     std::printf("%s: %s\n", code == 0 ? "held" : code == 1 ? "broken" : "not run", why);
-    if (router_ > 0) {
-      ::kill(router_, SIGKILL);
-      ::waitpid(router_, nullptr, 0);
+    for (pid_t router : routers_) {
+      ::kill(router, SIGKILL);
+      ::waitpid(router, nullptr, 0);
     }
-    if (const char* keep = std::getenv("KEEP_LOG"); keep && router_ > 0)  // a path for its log
+    if (const char* keep = std::getenv("KEEP_LOG"); keep && !routers_.empty())  // a path for its log
       std::filesystem::copy_file(folder_ + "/log", keep,
                                  std::filesystem::copy_options::overwrite_existing);
     std::error_code ignored;
@@ -456,7 +484,7 @@
   std::string run_, folder_;
   bool trouble_ = true;
   int port_ = 0, control_port_ = 0;
-  pid_t router_ = -1;
+  std::vector<pid_t> routers_;
 };
 
 }  // namespace standins
